--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The command line. */
+export { main } from './node/main.js'
--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,5 @@
+/** The caller library. */
+export * from './common/addressBook.js'
+export * from './common/client.js'
+export * from './common/transport.js'
+export * from './node/httpTransport.js'
--- /dev/null
+++ b/packages/core/src/common/audit/audit.contribution.ts
@@ -0,0 +1,14 @@
+import { type IPlugin, registerPlugin } from '../kernel/plugin.js'
+import { NodeAnnouncement } from './nodeAnnouncement.js'
+
+registerPlugin({
+  name: 'audit',
+  register () {},
+  create (container): IPlugin {
+    const announcement = container.resolve(NodeAnnouncement)
+    return {
+      start: () => announcement.start(),
+      dispose () {}
+    }
+  }
+})
--- /dev/null
+++ b/packages/core/src/common/base/rendezvous.ts
@@ -0,0 +1,56 @@
+/** Rendezvous (highest random weight) hashing: every node computes the same owner with no message. */
+
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+const MURMUR_MIX_1 = 0x85ebca6b
+const MURMUR_MIX_2 = 0xc2b2ae35
+const MAX_REMEMBERED_HASHES = 50_000
+
+const rememberedHashes = new Map<string, number>()
+
+/** A 32-bit hash of `text`: FNV-1a with the finalizer of MurmurHash3. */
+export function hash32 (text: string): number {
+  let hash = FNV_OFFSET
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
+  }
+  return mix(hash)
+}
+
+/**
+ * The candidate with the highest weight for `key`; undefined when there is none.
+ *
+ * @example
+ * resolveOwner('worker-3', ['regina-1', 'regina-2'], name => name)
+ */
+export function resolveOwner<T> (key: string, candidates: Iterable<T>, nameOf: (candidate: T) => string): T | undefined {
+  const keyHash = rememberHash(key)
+  let best: T | undefined
+  let bestWeight = -1
+  let bestName = ''
+  for (const candidate of candidates) {
+    const name = nameOf(candidate)
+    const weight = mix(Math.imul(keyHash, FNV_PRIME) ^ rememberHash(name))
+    const isBetter = weight > bestWeight || (weight === bestWeight && name < bestName)
+    if (!isBetter) continue
+    best = candidate
+    bestWeight = weight
+    bestName = name
+  }
+  return best
+}
+
+function mix (value: number): number {
+  let hash = Math.imul(value ^ (value >>> 16), MURMUR_MIX_1)
+  hash = Math.imul(hash ^ (hash >>> 13), MURMUR_MIX_2)
+  return (hash ^ (hash >>> 16)) >>> 0
+}
+
+function rememberHash (text: string): number {
+  const known = rememberedHashes.get(text)
+  if (known !== undefined) return known
+  if (rememberedHashes.size >= MAX_REMEMBERED_HASHES) rememberedHashes.clear()
+  const hash = hash32(text)
+  rememberedHashes.set(text, hash)
+  return hash
+}
--- /dev/null
+++ b/packages/core/src/common/base/tokenBucket.ts
@@ -0,0 +1,54 @@
+/** Rate limiting by a token bucket in host time. */
+
+export interface TokenBucketOptions {
+  /** Tokens added per second. */
+  ratePerSecond: number
+  /** The most tokens that can be saved up. */
+  burst: number
+}
+
+/** A bucket that starts full and is refilled continuously. */
+export class TokenBucket {
+  private _tokens: number
+  private _updatedAtMs = 0
+  private _ratePerSecond: number
+  private readonly _burst: number
+
+  constructor (options: TokenBucketOptions) {
+    this._ratePerSecond = options.ratePerSecond
+    this._burst = options.burst
+    this._tokens = options.burst
+  }
+
+  /** Changes the rate from now on. */
+  setRate (ratePerSecond: number, nowMs: number): void {
+    this._refill(nowMs)
+    this._ratePerSecond = ratePerSecond
+  }
+
+  /** Takes `count` tokens if they are there. */
+  tryTake (nowMs: number, count = 1): boolean {
+    this._refill(nowMs)
+    if (this._tokens < count) return false
+    this._tokens -= count
+    return true
+  }
+
+  /** Adds tokens by hand, up to the burst. */
+  deposit (count: number): void {
+    this._tokens = Math.min(this._burst, this._tokens + count)
+  }
+
+  /** Milliseconds until `count` tokens are there. */
+  waitMs (nowMs: number, count = 1): number {
+    this._refill(nowMs)
+    const missing = count - this._tokens
+    return missing <= 0 ? 0 : Math.ceil(missing / this._ratePerSecond * 1000)
+  }
+
+  private _refill (nowMs: number): void {
+    const elapsedMs = Math.max(0, nowMs - this._updatedAtMs)
+    this._updatedAtMs = nowMs
+    this._tokens = Math.min(this._burst, this._tokens + elapsedMs * this._ratePerSecond / 1000)
+  }
+}
--- /dev/null
+++ b/packages/core/src/common/dispatch/index.ts
@@ -0,0 +1,5 @@
+export * from './modelDispatch.js'
+export * from './outliers.js'
+export * from './quarantine.js'
+export * from './retryBudget.js'
+export * from './serviceDispatch.js'
--- /dev/null
+++ b/packages/core/src/common/journal/index.ts
@@ -0,0 +1,5 @@
+export * from './journal.js'
+export * from './journalFold.js'
+export * from './journalReader.js'
+export * from './journalRecords.js'
+export * from './streamWriter.js'
--- /dev/null
+++ b/packages/core/src/common/journal/journalFold.ts
@@ -0,0 +1,108 @@
+/** The deterministic fold of a journal: which programs it holds, in which state, and who may go on with them. */
+import type { LogRecord, StoredRecord } from '../kernel/events.js'
+import type { NodeRef } from '../kernel/node.js'
+import { addTurn, type ProgramState } from '../programs/programState.js'
+import type { JournalRecord } from './journalRecords.js'
+
+/** State folded from one journal. */
+export interface JournalState {
+  nextOffset: number
+  programs: Map<string, ProgramState>
+  /** Journal that each adopted program came from. */
+  adoptedFrom: Map<string, string>
+  fence?: { offset: number, by: NodeRef }
+  /** New homes that this journal names; the first record for a program counts. */
+  adoptions: Map<string, NodeRef>
+  /** Ids of the records folded so far: a record that landed twice counts once. */
+  ids: Set<string>
+  /** Offset of the oldest record that could be read. */
+  firstOffset: number
+}
+
+/** The state of an empty journal. */
+export function createJournalState (): JournalState {
+  return { nextOffset: 0, programs: new Map(), adoptedFrom: new Map(), adoptions: new Map(), ids: new Set(), firstOffset: 0 }
+}
+
+/** Adds one record to the state, in place. Records of unknown shape are skipped. */
+export function foldJournalRecord (state: JournalState, stored: StoredRecord<LogRecord>): void {
+  if (stored.offset < state.nextOffset) return
+  state.nextOffset = stored.offset + 1
+  const record = stored.record as JournalRecord
+  if (state.ids.has(record.id)) return
+  state.ids.add(record.id)
+  switch (record.type) {
+    case 'fenced':
+      state.fence ??= { offset: stored.offset, by: record.by }
+      return
+    case 'adopted':
+      foldAdoption(state, record.programIds, record.to)
+      return
+    case 'turnCompleted':
+      foldTurn(state, record)
+      return
+  }
+  if (state.fence !== undefined) return
+  foldOwnRecord(state, record)
+}
+
+/** A program may be adopted behind the fence, by the node that fenced or by a later one: the first record wins. */
+function foldAdoption (state: JournalState, programIds: string[], to: NodeRef): void {
+  for (const programId of programIds) {
+    if (!state.adoptions.has(programId)) state.adoptions.set(programId, to)
+  }
+}
+
+/** Behind the fence a turn counts only as the result of a claim made before the fence. */
+function foldTurn (state: JournalState, record: Extract<JournalRecord, { type: 'turnCompleted' }>): void {
+  const program = state.programs.get(record.programId)
+  if (program === undefined || record.step !== program.turns.length + 1) return
+  const isClaimResult = program.openClaim?.step === record.step && program.openClaim.key === record.key
+  if (state.fence !== undefined && !isClaimResult) return
+  addTurn(program, record)
+  program.reservedTokens = record.reservedTokens
+  const root = state.programs.get(program.root) ?? program
+  root.spent.steps++
+  root.spent.tokens += record.spentTokens
+  if (record.call.type === 'service') root.spent.toolCalls++
+}
+
+function foldOwnRecord (state: JournalState, record: JournalRecord): void {
+  switch (record.type) {
+    case 'programSnapshot':
+      state.programs.set(record.program.programId, cloneProgram(record.program))
+      if (record.adoptedFrom !== undefined) state.adoptedFrom.set(record.program.programId, record.adoptedFrom)
+      return
+    case 'stepClaimed': {
+      const program = state.programs.get(record.programId)
+      if (program === undefined || record.step !== program.turns.length + 1) return
+      program.openClaim = { step: record.step, key: record.key, attempt: record.attempt, call: record.call, callDigest: record.callDigest }
+      return
+    }
+    case 'claimWithdrawn': {
+      const program = state.programs.get(record.programId)
+      const claim = program?.openClaim
+      if (program !== undefined && claim?.step === record.step && claim.attempt <= record.attempt) program.openClaim = undefined
+      return
+    }
+    case 'tokensReserved': {
+      const program = state.programs.get(record.programId)
+      if (program !== undefined) program.reservedTokens = Math.max(program.reservedTokens, record.tokens)
+      return
+    }
+    case 'programClosed': {
+      const program = state.programs.get(record.programId)
+      if (program !== undefined) program.closedReason = record.reason
+    }
+  }
+}
+
+/** A copy that shares no mutable part with the original. */
+export function cloneProgram (program: ProgramState): ProgramState {
+  return {
+    ...program,
+    turns: [...program.turns],
+    spent: { ...program.spent },
+    openClaim: program.openClaim === undefined ? undefined : { ...program.openClaim }
+  }
+}
--- /dev/null
+++ b/packages/core/src/common/kernel/effectQueue.ts
@@ -0,0 +1,50 @@
+/** Collects the effects of the event that is being handled. */
+import { type Effect, type LogFields, LogLevel } from './effects.js'
+
+/** Where plug-ins put what the host shall do. */
+export interface IEffects {
+  /** Queues an effect; the host carries effects out in this order. */
+  emit (effect: Effect): void
+  /** A number that is unique within the node's run, for timers, calls and operations. */
+  nextId (): number
+}
+export const IEffects = Symbol('IEffects')
+
+export class EffectQueue implements IEffects {
+  private _effects: Effect[] = []
+  private _lastId = 0
+
+  emit (effect: Effect): void {
+    this._effects.push(effect)
+  }
+
+  nextId (): number {
+    return ++this._lastId
+  }
+
+  /** Returns the queued effects and empties the queue. */
+  drain (): Effect[] {
+    const effects = this._effects
+    this._effects = []
+    return effects
+  }
+}
+
+/** Writes one line of key=value pairs for an event. */
+export interface ILogger {
+  info (event: string, fields?: LogFields): void
+  warn (event: string, fields?: LogFields): void
+}
+export const ILogger = Symbol('ILogger')
+
+export class EffectLogger implements ILogger {
+  constructor (private readonly _effects: IEffects) {}
+
+  info (event: string, fields: LogFields = {}): void {
+    this._effects.emit({ type: 'log', level: LogLevel.Info, event, fields })
+  }
+
+  warn (event: string, fields: LogFields = {}): void {
+    this._effects.emit({ type: 'log', level: LogLevel.Warn, event, fields })
+  }
+}
--- /dev/null
+++ b/packages/core/src/common/kernel/events.ts
@@ -0,0 +1,67 @@
+/** Everything a host tells the kernel. */
+import type { CallerReply, CallerRequest, ModelResult, ServiceResult } from './callerMessages.js'
+import type { PeerEnvelope } from '../peers/messages.js'
+import type { VmEntry } from './node.js'
+
+/** A record of a log stream. `id` is unique, so that duplicates can be told. */
+export interface LogRecord {
+  id: string
+  type: string
+}
+
+/** A record with its place in the stream. */
+export interface StoredRecord<T extends LogRecord = LogRecord> {
+  offset: number
+  record: T
+}
+
+/**
+ * Fate of an append.
+ * `appended`: landed; `firstOffset` is absent when the service does not say where.
+ * `failed`: certainly not landed. `ambiguous`: may have landed, or may land later.
+ */
+export type AppendOutcome =
+  | { type: 'appended', firstOffset?: number }
+  | { type: 'failed', detail: string }
+  | { type: 'ambiguous', detail: string }
+
+/** Records from the asked offset on; `firstOffset` is larger than asked when older ones are gone. */
+export type ReadOutcome =
+  | { type: 'read', records: StoredRecord[], firstOffset: number, endOffset: number }
+  | { type: 'failed', detail: string }
+
+/** A load report of a model engine; old by its lag when it arrives. */
+export interface EngineStatus {
+  model: string
+  activeRequests: number
+  queuedRequests: number
+  kvTokensUsed: number
+  kvTokensCapacity: number
+  /** Programs for which the engine holds key-value cache. */
+  heldSessions: Array<{ session: string, tokens: number }>
+}
+
+export type BackendEvent =
+  | { type: 'chunk', text: string, tokens: number }
+  | { type: 'modelDone', result: ModelResult }
+  | { type: 'serviceDone', result: ServiceResult }
+  | { type: 'status', status: EngineStatus }
+  | { type: 'ok' }
+  /** `isUntouched` is true only when no byte of the request was written or the back end said that it did not run it. */
+  | { type: 'failed', isUntouched: boolean, isConnectionLost: boolean, isLeaving: boolean, detail: string }
+
+export type InputEvent =
+  | { type: 'started' }
+  | { type: 'timerFired', timerId: number }
+  | { type: 'logAppended', operationId: number, outcome: AppendOutcome }
+  | { type: 'logRead', operationId: number, outcome: ReadOutcome }
+  | { type: 'peerMessage', envelope: PeerEnvelope }
+  | { type: 'peerFailed', node: string, address: string, messageId: number }
+  | { type: 'callerRequest', requestId: string, request: CallerRequest, hops: number }
+  | { type: 'callerGone', requestId: string }
+  /** `wasSent` is false only when no byte reached the other node. */
+  | { type: 'forwardFailed', requestId: string, wasSent: boolean }
+  | { type: 'forwardReply', requestId: string, reply: CallerReply }
+  | { type: 'backendEvent', callId: number, event: BackendEvent }
+  | { type: 'vmListed', entries: VmEntry[] }
+  | { type: 'stopRequested' }
--- /dev/null
+++ b/packages/core/src/common/kernel/random.ts
@@ -0,0 +1,57 @@
+/** Seeded pseudo-random numbers, so that a run can be repeated from its seed. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
+
+const UINT32_RANGE = 0x1_0000_0000
+
+/** A source of random decisions; never used for secrets. */
+export interface IRandom {
+  /** A number in [0, 1). */
+  next (): number
+  /** An integer in [0, bound). */
+  nextInt (bound: number): number
+  /** A sample with the given mean of the exponential distribution. */
+  nextExponential (mean: number): number
+  /** Up to `count` distinct items in random order. */
+  sample<T> (items: readonly T[], count: number): T[]
+}
+export const IRandom = Symbol('IRandom')
+
+/**
+ * An `IRandom` over xoroshiro128+.
+ *
+ * @example
+ * const random = new SeededRandom(42)
+ * random.nextInt(6) // the same for every run
+ */
+export class SeededRandom implements IRandom {
+  private readonly _generator: RandomGenerator
+
+  constructor (seed: number) {
+    this._generator = xoroshiro128plus(seed)
+  }
+
+  next (): number {
+    return (this._generator.next() >>> 0) / UINT32_RANGE
+  }
+
+  nextInt (bound: number): number {
+    return Math.floor(this.next() * bound)
+  }
+
+  nextExponential (mean: number): number {
+    return -mean * Math.log(1 - this.next())
+  }
+
+  sample<T> (items: readonly T[], count: number): T[] {
+    const pool = [...items]
+    const chosen: T[] = []
+    while (chosen.length < count && pool.length > 0) {
+      const index = this.nextInt(pool.length)
+      chosen.push(pool[index])
+      pool[index] = pool[pool.length - 1]
+      pool.pop()
+    }
+    return chosen
+  }
+}
--- /dev/null
+++ b/packages/core/src/common/kernel/settings.ts
@@ -0,0 +1,105 @@
+/** Tunable values of the core, with their defaults. */
+
+export const PlacementPolicy = { Affinity: 'affinity', RoundRobin: 'roundRobin', LeastLoaded: 'leastLoaded' } as const
+export type PlacementPolicy = typeof PlacementPolicy[keyof typeof PlacementPolicy]
+export const AdmissionPolicy = { Program: 'program', None: 'none' } as const
+export type AdmissionPolicy = typeof AdmissionPolicy[keyof typeof AdmissionPolicy]
+export const QueuePolicy = { Rank: 'rank', Fifo: 'fifo' } as const
+export type QueuePolicy = typeof QueuePolicy[keyof typeof QueuePolicy]
+
+export interface CoreSettings {
+  placementPolicy: PlacementPolicy
+  admissionPolicy: AdmissionPolicy
+  queuePolicy: QueuePolicy
+  probePeriodMs: number
+  /** Peers probed in each period; constant whatever the size of the fleet. */
+  probeFanout: number
+  probeTimeoutMs: number
+  /** Failed probes in a row after which a peer is suspected. */
+  suspectAfterFailures: number
+  /** Time that a node must be suspected or unlisted before its programs are adopted. */
+  takeoverAfterMs: number
+  /** Appends per second that all nodes together may use. */
+  logAppendBudgetPerSecond: number
+  logBatchRecords: number
+  logRetryMs: number
+  controlPollMs: number
+  /** Time for which the log keeps a record. */
+  logRetentionMs: number
+  /** Longest wait for the log before the end of a turn is told without it. */
+  turnDurabilityWaitMs: number
+  /** Workers asked for an offer when a program is opened. */
+  offerSampleSize: number
+  offerTimeoutMs: number
+  /** Longest time that an opening may wait for admission. */
+  admissionWaitMs: number
+  /** Programs in progress that a worker takes, relative to its slots. */
+  admissionLoad: number
+  /** First concurrency limit of a worker. */
+  initialConcurrency: number
+  minConcurrency: number
+  /** Mean time between tokens above which a worker's limit shrinks. */
+  tokenGapTargetMs: number
+  enginePollMs: number
+  /** Attempts of a repeatable call, the first included. */
+  maxAttempts: number
+  retryBackoffMs: number
+  /** Retries allowed for each first attempt. */
+  retryBudgetShare: number
+  /** Workers of a back end that may be ejected at once, as a share. */
+  maxEjectedShare: number
+  ejectionMs: number
+  addressValidityMs: number
+  addressCount: number
+  /** Time after closing for which a program still answers resent steps. */
+  closedRetentionMs: number
+  maxStepsWaiting: number
+  /** Longest time a stopping node waits for programs to reach the end of their step. */
+  drainTimeoutMs: number
+}
+export const CoreSettings = Symbol('CoreSettings')
+
+const DEFAULTS: CoreSettings = {
+  placementPolicy: PlacementPolicy.Affinity,
+  admissionPolicy: AdmissionPolicy.Program,
+  queuePolicy: QueuePolicy.Rank,
+  probePeriodMs: 1_000,
+  probeFanout: 3,
+  probeTimeoutMs: 500,
+  suspectAfterFailures: 2,
+  takeoverAfterMs: 3_000,
+  logAppendBudgetPerSecond: 200,
+  logBatchRecords: 200,
+  logRetryMs: 200,
+  controlPollMs: 1_000,
+  logRetentionMs: 24 * 3_600_000,
+  turnDurabilityWaitMs: 300,
+  offerSampleSize: 3,
+  offerTimeoutMs: 250,
+  admissionWaitMs: 500,
+  admissionLoad: 1,
+  initialConcurrency: 12,
+  minConcurrency: 2,
+  tokenGapTargetMs: 50,
+  enginePollMs: 1_000,
+  maxAttempts: 3,
+  retryBackoffMs: 100,
+  retryBudgetShare: 0.1,
+  maxEjectedShare: 0.34,
+  ejectionMs: 5_000,
+  addressValidityMs: 30_000,
+  addressCount: 4,
+  closedRetentionMs: 600_000,
+  maxStepsWaiting: 8,
+  drainTimeoutMs: 120_000
+}
+
+/**
+ * Fills in the defaults.
+ *
+ * @example
+ * const settings = createCoreSettings({ probePeriodMs: 500 })
+ */
+export function createCoreSettings (overrides: Partial<CoreSettings> = {}): CoreSettings {
+  return { ...DEFAULTS, ...overrides }
+}
--- /dev/null
+++ b/packages/core/src/common/membership/index.ts
@@ -0,0 +1,2 @@
+export * from './addressing.js'
+export * from './membership.js'
--- /dev/null
+++ b/packages/core/src/common/peers/index.ts
@@ -0,0 +1,2 @@
+export * from './messages.js'
+export * from './peers.js'
--- /dev/null
+++ b/packages/core/src/common/placement/leads.ts
@@ -0,0 +1,256 @@
+/** The lead's side: queues and admission of the workers that this node leads. */
+import { inject, injectable } from 'tsyringe'
+import { IClock } from '../kernel/clock.js'
+import { NodeIdentity } from '../kernel/node.js'
+import { IRandom } from '../kernel/random.js'
+import { CoreSettings } from '../kernel/settings.js'
+import { ITimers } from '../kernel/timers.js'
+import { IConfiguration } from '../configuration/configuration.js'
+import { Rank } from '../configuration/document.js'
+import { IMembership } from '../membership/membership.js'
+import type { Offer, SlotReport, SlotRequest } from '../peers/messages.js'
+import { IPeers } from '../peers/peers.js'
+import { createAdmissionPolicy, type IAdmissionPolicy } from './admission.js'
+import { ILeadTable } from './leadTable.js'
+import { KindProfiles, Residents } from './residents.js'
+import { type QueueItem, type RankShares, WorkerQueue } from './workerQueue.js'
+
+const SWEEP_MS = 1_000
+const MIN_RETRY_AFTER_MS = 1_000
+const MAX_RETRY_AFTER_MS = 15_000
+/** Tickets granted longer ago than this were lost with their home's release. */
+const TICKET_LIFE_MS = 300_000
+const NO_FLOORS: RankShares = { urgent: 0, other: 0 }
+const DEFAULT_MAX_CONCURRENCY = 32
+
+export type SlotAnswer = { type: 'granted' } | { type: 'refused', reason: 'notLead' | 'workerGone' | 'deadline' | 'overloaded', retryAfterMs: number }
+
+/** Orders the steps that want a worker. */
+export interface ILeads {
+  /** Puts a step in the worker's queue; asking again with the same ticket replaces who is told. */
+  request (request: SlotRequest, home: string, onAnswer: (answer: SlotAnswer) => void): void
+  release (worker: string, ticket: string, report: SlotReport | undefined): void
+  /** What a new program would meet at a worker. */
+  createOffer (worker: string, rank: Rank, kind: string): Offer
+  /** Admits a program for good, if the worker can carry it. */
+  tryAdmit (worker: string, programId: string, rank: Rank, kind: string): boolean
+  noteLeft (worker: string, programId: string): void
+  /** Expected pause between two engine calls of a kind. */
+  pauseOf (kind: string): number
+  queueOf (worker: string): WorkerQueue | undefined
+}
+export const ILeads = Symbol('ILeads')
+
+interface LedWorker {
+  queue: WorkerQueue
+  residents: Residents
+  answers: Map<string, (answer: SlotAnswer) => void>
+}
+
+@injectable()
+export class Leads implements ILeads {
+  private readonly _workers = new Map<string, LedWorker>()
+  private readonly _profiles = new KindProfiles()
+  private readonly _admission: IAdmissionPolicy
+
+  constructor (
+    @inject(NodeIdentity) private readonly _identity: NodeIdentity,
+    @inject(CoreSettings) private readonly _settings: CoreSettings,
+    @inject(IClock) private readonly _clock: IClock,
+    @inject(ITimers) private readonly _timers: ITimers,
+    @inject(IRandom) private readonly _random: IRandom,
+    @inject(IConfiguration) private readonly _configuration: IConfiguration,
+    @inject(IMembership) private readonly _membership: IMembership,
+    @inject(ILeadTable) private readonly _leadTable: ILeadTable,
+    @inject(IPeers) private readonly _peers: IPeers
+  ) {
+    this._admission = createAdmissionPolicy(_settings)
+  }
+
+  start (): void {
+    this._peers.handle('offerRequest', (body, _from, respond) => respond(this.createOffer(body.worker, body.rank as Rank, body.kind)))
+    this._peers.handle('slotRequest', (body, from, respond) => {
+      this.request(body, from.node, answer => {
+        if (answer.type === 'granted') respond({ type: 'slotGrant', ticket: body.ticket })
+        else respond({ type: 'slotRefusal', ticket: body.ticket, reason: answer.reason, retryAfterMs: answer.retryAfterMs })
+      })
+    })
+    this._peers.handle('slotRelease', body => this.release(body.worker, body.ticket, body.report))
+    this._peers.handle('residentNotice', body => this.noteLeft(body.worker, body.programId))
+    this._membership.onDidChange(() => this._dropLost())
+    this._timers.every(SWEEP_MS, () => this._sweep())
+  }
+
+  request (request: SlotRequest, home: string, onAnswer: (answer: SlotAnswer) => void): void {
+    if (this._membership.findWorker(request.worker) === undefined) {
+      onAnswer({ type: 'refused', reason: 'workerGone', retryAfterMs: 0 })
+      return
+    }
+    if (!this._leadTable.isLead(request.worker)) {
+      onAnswer({ type: 'refused', reason: 'notLead', retryAfterMs: 0 })
+      return
+    }
+    const led = this._resolveWorker(request.worker)
+    const nowMs = this._clock.nowMs()
+    const known = led.queue.find(request.ticket)
+    if (known?.grantedAtMs !== undefined) {
+      onAnswer({ type: 'granted' })
+      return
+    }
+    led.residents.noteSeen(request.programId, request.kind, request.rank as Rank, nowMs)
+    const item = toQueueItem(request, home, nowMs)
+    if (request.isHeld) {
+      led.queue.adoptInFlight(item, nowMs)
+      onAnswer({ type: 'granted' })
+      return
+    }
+    led.answers.set(request.ticket, onAnswer)
+    led.queue.enqueue(item)
+    this._pump(led)
+  }
+
+  release (worker: string, ticket: string, report: SlotReport | undefined): void {
+    const led = this._workers.get(worker)
+    if (led === undefined) return
+    led.answers.delete(ticket)
+    const item = led.queue.remove(ticket, report)
+    if (item !== undefined && report !== undefined) led.residents.noteReleased(item.programId, report.serviceMs, this._clock.nowMs())
+    this._pump(led)
+  }
+
+  createOffer (worker: string, rank: Rank, kind: string): Offer {
+    const isUsable = this._membership.findWorker(worker) !== undefined && this._leadTable.isLead(worker)
+    if (!isUsable) return { type: 'offer', worker, isUsable, isAdmitted: false, expectedWaitMs: 0, load: 0, retryAfterMs: MIN_RETRY_AFTER_MS }
+    const led = this._resolveWorker(worker)
+    const demand = led.residents.demandOf(Rank.Urgent) + led.residents.demandOf(Rank.Other)
+    return {
+      type: 'offer',
+      worker,
+      isUsable,
+      isAdmitted: this._isAdmitted(led, rank, kind),
+      expectedWaitMs: led.queue.expectedWaitMs(rank),
+      load: demand / Math.max(1, led.queue.limit.value),
+      retryAfterMs: this._retryAfterMs(led)
+    }
+  }
+
+  tryAdmit (worker: string, programId: string, rank: Rank, kind: string): boolean {
+    const led = this._resolveWorker(worker)
+    if (!this._isAdmitted(led, rank, kind)) return false
+    led.residents.noteSeen(programId, kind, rank, this._clock.nowMs())
+    return true
+  }
+
+  noteLeft (worker: string, programId: string): void {
+    this._workers.get(worker)?.residents.noteLeft(programId)
+  }
+
+  pauseOf (kind: string): number {
+    return this._profiles.pauseOf(kind)
+  }
+
+  queueOf (worker: string): WorkerQueue | undefined {
+    return this._workers.get(worker)?.queue
+  }
+
+  private _isAdmitted (led: LedWorker, rank: Rank, kind: string): boolean {
+    const limit = Math.min(led.queue.limit.value, this._maxConcurrency(led.queue.worker))
+    return this._admission.isAdmitted({ rank, kind, limit, floors: this._floors(), residents: led.residents, profiles: this._profiles })
+  }
+
+  private _retryAfterMs (led: LedWorker): number {
+    const spread = 0.5 + this._random.next()
+    const waitMs = led.queue.serviceMs * (1 + led.queue.waitingCount / Math.max(1, led.queue.limit.value)) * spread
+    return Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs)))
+  }
+
+  private _floors (): RankShares {
+    const ranks = this._configuration.document?.ranks
+    return ranks === undefined ? NO_FLOORS : { urgent: ranks.urgent.floorShare, other: ranks.other.floorShare }
+  }
+
+  private _maxConcurrency (worker: string): number {
+    const backend = this._membership.findWorker(worker)?.backend ?? ''
+    return this._configuration.findBackend(backend)?.maxConcurrencyPerWorker ?? DEFAULT_MAX_CONCURRENCY
+  }
+
+  private _resolveWorker (worker: string): LedWorker {
+    let led = this._workers.get(worker)
+    if (led === undefined) {
+      const queue = new WorkerQueue({
+        worker,
+        settings: this._settings,
+        floors: () => this._floors(),
+        weightOf: customer => this._configuration.findCustomer(customer)?.weight ?? 1,
+        maxConcurrency: () => this._maxConcurrency(worker)
+      })
+      led = { queue, residents: new Residents(this._profiles), answers: new Map() }
+      this._workers.set(worker, led)
+    }
+    return led
+  }
+
+  /** Grants slots while there are any. */
+  private _pump (led: LedWorker): void {
+    for (;;) {
+      const item = led.queue.takeNext(this._clock.nowMs())
+      if (item === undefined) return
+      this._answer(led, item, { type: 'granted' })
+    }
+  }
+
+  private _answer (led: LedWorker, item: QueueItem, answer: SlotAnswer): void {
+    const onAnswer = led.answers.get(item.ticket)
+    led.answers.delete(item.ticket)
+    onAnswer?.(answer)
+  }
+
+  private _refuse (led: LedWorker, item: QueueItem, reason: 'notLead' | 'workerGone' | 'deadline'): void {
+    led.queue.remove(item.ticket)
+    this._answer(led, item, { type: 'refused', reason, retryAfterMs: this._retryAfterMs(led) })
+  }
+
+  /** Gives up queues of workers that left or that another node leads now. */
+  private _dropLost (): void {
+    for (const [worker, led] of [...this._workers]) {
+      const isGone = this._membership.findWorker(worker) === undefined
+      if (!isGone && this._leadTable.isLead(worker)) {
+        this._dropDeadHomes(led)
+        continue
+      }
+      this._workers.delete(worker)
+      for (const item of led.queue.items()) {
+        if (item.grantedAtMs === undefined) this._refuse(led, item, isGone ? 'workerGone' : 'notLead')
+      }
+    }
+  }
+
+  /** Frees the slots of homes that died. */
+  private _dropDeadHomes (led: LedWorker): void {
+    for (const item of led.queue.items()) {
+      if (item.home === this._identity.node) continue
+      const peer = this._membership.findNode(item.home)
+      const isGone = peer === undefined || peer.suspectedSinceMs !== undefined
+      if (isGone) led.queue.remove(item.ticket)
+    }
+    this._pump(led)
+  }
+
+  private _sweep (): void {
+    const nowMs = this._clock.nowMs()
+    for (const led of this._workers.values()) {
+      for (const item of led.queue.expired(nowMs)) this._refuse(led, item, 'deadline')
+      for (const item of led.queue.items()) {
+        const isStale = item.grantedAtMs !== undefined && nowMs - item.grantedAtMs > TICKET_LIFE_MS
+        if (isStale) led.queue.remove(item.ticket)
+      }
+      led.residents.forgetSilent(nowMs)
+      this._pump(led)
+    }
+  }
+}
+
+function toQueueItem (request: SlotRequest, home: string, nowMs: number): QueueItem {
+  const { ticket, programId, customer, kind, isFirstStep, dueAtMs, deadlineMs, attainedSteps, promptTokens, isSuspect } = request
+  return { ticket, programId, customer, kind, rank: request.rank as Rank, isFirstStep, dueAtMs, deadlineMs, attainedSteps, promptTokens, isSuspect, home, enqueuedAtMs: nowMs }
+}
--- /dev/null
+++ b/packages/core/src/common/placement/placement.ts
@@ -0,0 +1,146 @@
+/** Chooses workers: for new programs by offers of several leads, for later steps by where the cache is. */
+import { inject, injectable } from 'tsyringe'
+import { NodeIdentity } from '../kernel/node.js'
+import { IRandom } from '../kernel/random.js'
+import { CoreSettings, PlacementPolicy } from '../kernel/settings.js'
+import type { Rank } from '../configuration/document.js'
+import { IMembership, type WorkerInfo } from '../membership/membership.js'
+import type { Offer } from '../peers/messages.js'
+import { IPeers } from '../peers/peers.js'
+import { IOutliers } from '../dispatch/outliers.js'
+import { ILeads } from './leads.js'
+import { ILeadTable } from './leadTable.js'
+
+/** Cost of computing one prompt token that is not cached. */
+const PREFILL_MS_PER_TOKEN = 0.25
+/** Wait that must be saved beyond the prefill before a program leaves its cache. */
+const MOVE_MARGIN_MS = 1_000
+
+export interface WorkerQuery {
+  model: string
+  /** Worker that holds the conversation in its cache, if any. */
+  cachedWorker: string | undefined
+  promptTokens: number
+  customer: string
+  kind: string
+  rank: Rank
+  /** Workers that must not be chosen. */
+  excluded: ReadonlySet<string>
+}
+
+/** Decides where work runs. */
+export interface IPlacement {
+  /** Chooses the worker for one step; undefined when none is available. */
+  chooseWorker (query: WorkerQuery, onChosen: (worker: string | undefined) => void): void
+  /** Asks several leads what a new program would meet; best offers first. */
+  collectOffers (query: Omit<WorkerQuery, 'cachedWorker' | 'promptTokens'>, onOffers: (offers: Offer[]) => void): void
+}
+export const IPlacement = Symbol('IPlacement')
+
+@injectable()
+export class Placement implements IPlacement {
+  private _lastRoundRobin = 0
+
+  constructor (
+    @inject(NodeIdentity) private readonly _identity: NodeIdentity,
+    @inject(CoreSettings) private readonly _settings: CoreSettings,
+    @inject(IRandom) private readonly _random: IRandom,
+    @inject(IMembership) private readonly _membership: IMembership,
+    @inject(ILeadTable) private readonly _leadTable: ILeadTable,
+    @inject(ILeads) private readonly _leads: ILeads,
+    @inject(IPeers) private readonly _peers: IPeers,
+    @inject(IOutliers) private readonly _outliers: IOutliers
+  ) {
+    this._lastRoundRobin = _random.nextInt(1_000)
+  }
+
+  chooseWorker (query: WorkerQuery, onChosen: (worker: string | undefined) => void): void {
+    if (this._settings.placementPolicy === PlacementPolicy.RoundRobin) {
+      onChosen(this._nextInTurn(query))
+      return
+    }
+    const cached = this._usableCached(query)
+    const mayStay = cached !== undefined && this._settings.placementPolicy === PlacementPolicy.Affinity
+    if (mayStay && !this._isWorthLeaving(cached, query)) {
+      onChosen(cached)
+      return
+    }
+    this.collectOffers(query, offers => onChosen(this._best(offers, cached, query)))
+  }
+
+  collectOffers (query: Omit<WorkerQuery, 'cachedWorker' | 'promptTokens'>, onOffers: (offers: Offer[]) => void): void {
+    const sample = this._sample(query)
+    const offers: Offer[] = []
+    let missing = sample.length
+    if (missing === 0) onOffers([])
+    for (const worker of sample) {
+      this._ask(worker.worker, query, offer => {
+        if (offer?.isUsable === true) offers.push(offer)
+        missing--
+        if (missing === 0) onOffers(offers.sort(compareOffers))
+      })
+    }
+  }
+
+  private _ask (worker: string, query: Omit<WorkerQuery, 'cachedWorker' | 'promptTokens'>, onOffer: (offer: Offer | undefined) => void): void {
+    const lead = this._leadTable.leadOf(worker)
+    if (lead === undefined) {
+      onOffer(undefined)
+    } else if (lead.node === this._identity.node) {
+      onOffer(this._leads.createOffer(worker, query.rank, query.kind))
+    } else {
+      const { rank, customer, kind } = query
+      this._peers.request(lead, { type: 'offerRequest', worker, rank, customer, kind }, this._settings.offerTimeoutMs, answer => {
+        onOffer(answer.type === 'answered' && answer.body.type === 'offer' ? answer.body : undefined)
+      })
+    }
+  }
+
+  private _candidates (query: { model: string, excluded: ReadonlySet<string> }): WorkerInfo[] {
+    const workers = this._membership.workers(query.model)
+    const allowed = workers.filter(worker => !query.excluded.has(worker.worker))
+    const healthy = allowed.filter(worker => !this._outliers.isEjected(worker.worker))
+    return healthy.length > 0 ? healthy : allowed
+  }
+
+  private _sample (query: { model: string, excluded: ReadonlySet<string> }): WorkerInfo[] {
+    return this._random.sample(this._candidates(query), this._settings.offerSampleSize)
+  }
+
+  private _nextInTurn (query: WorkerQuery): string | undefined {
+    const candidates = this._candidates(query)
+    if (candidates.length === 0) return undefined
+    this._lastRoundRobin++
+    return candidates[this._lastRoundRobin % candidates.length].worker
+  }
+
+  private _usableCached (query: WorkerQuery): string | undefined {
+    const { cachedWorker } = query
+    const isUsable = cachedWorker !== undefined && !query.excluded.has(cachedWorker) &&
+      this._membership.findWorker(cachedWorker) !== undefined && !this._outliers.isEjected(cachedWorker)
+    return isUsable ? cachedWorker : undefined
+  }
+
+  /** Only the lead knows the wait, so a step whose lead is elsewhere stays with its cache. */
+  private _isWorthLeaving (cached: string, query: WorkerQuery): boolean {
+    const queue = this._leadTable.isLead(cached) ? this._leads.queueOf(cached) : undefined
+    if (queue === undefined) return false
+    return queue.expectedWaitMs(query.rank) > query.promptTokens * PREFILL_MS_PER_TOKEN + MOVE_MARGIN_MS
+  }
+
+  private _best (offers: Offer[], cached: string | undefined, query: WorkerQuery): string | undefined {
+    const best = offers.at(0)
+    if (best === undefined || best.worker === cached) return cached ?? this._nextInTurn({ ...query, cachedWorker: undefined })
+    const isAffinity = cached !== undefined && this._settings.placementPolicy === PlacementPolicy.Affinity
+    if (!isAffinity) return best.worker
+    const waitMs = this._leads.queueOf(cached)?.expectedWaitMs(query.rank) ?? 0
+    const movedMs = best.expectedWaitMs + query.promptTokens * PREFILL_MS_PER_TOKEN + MOVE_MARGIN_MS
+    return waitMs > movedMs ? best.worker : cached
+  }
+}
+
+function compareOffers (left: Offer, right: Offer): number {
+  if (left.isAdmitted !== right.isAdmitted) return left.isAdmitted ? -1 : 1
+  if (left.expectedWaitMs !== right.expectedWaitMs) return left.expectedWaitMs - right.expectedWaitMs
+  return left.load - right.load
+}
--- /dev/null
+++ b/packages/core/src/common/placement/workerQueue.ts
@@ -0,0 +1,202 @@
+/** The queue of one worker at its lead: what runs, what waits, and which step is next. */
+import { Ewma } from '../base/ewma.js'
+import { type CoreSettings, QueuePolicy } from '../kernel/settings.js'
+import { Rank } from '../configuration/document.js'
+import type { SlotReport } from '../peers/messages.js'
+import { ConcurrencyLimit } from './concurrencyLimit.js'
+import { CustomerShares } from './customerShares.js'
+
+const SERVICE_WEIGHT = 0.1
+const INITIAL_SERVICE_MS = 3_000
+
+/** A step in the queue. */
+export interface QueueItem {
+  ticket: string
+  programId: string
+  customer: string
+  kind: string
+  rank: Rank
+  isFirstStep: boolean
+  dueAtMs: number
+  deadlineMs: number
+  attainedSteps: number
+  promptTokens: number
+  /** True when the request was in flight at a crash; only one such request runs on a worker at a time. */
+  isSuspect: boolean
+  /** Node that runs the step. */
+  home: string
+  enqueuedAtMs: number
+  grantedAtMs?: number
+}
+
+export interface RankShares { urgent: number, other: number }
+
+export interface WorkerQueueOptions {
+  worker: string
+  settings: CoreSettings
+  /** Floor shares of the two ranks, from the document in force. */
+  floors: () => RankShares
+  weightOf: (customer: string) => number
+  maxConcurrency: () => number
+}
+
+export class WorkerQueue {
+  readonly worker: string
+  readonly limit: ConcurrencyLimit
+  private readonly _options: WorkerQueueOptions
+  private readonly _waiting = new Map<string, QueueItem>()
+  private readonly _inFlight = new Map<string, QueueItem>()
+  private readonly _inFlightByRank: RankShares = { urgent: 0, other: 0 }
+  private readonly _waitingByRank: RankShares = { urgent: 0, other: 0 }
+  private readonly _serviceMs = new Ewma(SERVICE_WEIGHT, INITIAL_SERVICE_MS)
+  private readonly _shares: CustomerShares
+
+  constructor (options: WorkerQueueOptions) {
+    this._options = options
+    this.worker = options.worker
+    const { initialConcurrency, minConcurrency, tokenGapTargetMs } = options.settings
+    this.limit = new ConcurrencyLimit({ initial: initialConcurrency, min: minConcurrency, tokenGapTargetMs })
+    this._shares = new CustomerShares(options.weightOf)
+  }
+
+  get inFlightCount (): number {
+    return this._inFlight.size
+  }
+
+  get waitingCount (): number {
+    return this._waiting.size
+  }
+
+  /** Mean time of a call on the worker. */
+  get serviceMs (): number {
+    return this._serviceMs.value
+  }
+
+  waitingOf (rank: Rank): number {
+    return this._waitingByRank[rank]
+  }
+
+  inFlightOf (rank: Rank): number {
+    return this._inFlightByRank[rank]
+  }
+
+  find (ticket: string): QueueItem | undefined {
+    return this._waiting.get(ticket) ?? this._inFlight.get(ticket)
+  }
+
+  items (): QueueItem[] {
+    return [...this._inFlight.values(), ...this._waiting.values()]
+  }
+
+  enqueue (item: QueueItem): void {
+    if (this.find(item.ticket) !== undefined) return
+    this._waiting.set(item.ticket, item)
+    this._waitingByRank[item.rank]++
+    this._shares.noteArrival(item.customer)
+  }
+
+  /** Counts a step that was granted by an earlier lead. */
+  adoptInFlight (item: QueueItem, nowMs: number): void {
+    if (this.find(item.ticket) === undefined) this._start(item, nowMs)
+  }
+
+  /** Takes the next step that may run now; undefined when there is none or no slot is free. */
+  takeNext (nowMs: number): QueueItem | undefined {
+    if (this._inFlight.size >= Math.min(this.limit.value, this._options.maxConcurrency())) return undefined
+    const next = this._options.settings.queuePolicy === QueuePolicy.Fifo ? this._oldest() : this._mostUrgent()
+    if (next === undefined) return undefined
+    this._removeWaiting(next)
+    this._start(next, nowMs)
+    return next
+  }
+
+  /** Removes a step whether it waits or runs, and learns from its report. */
+  remove (ticket: string, report?: SlotReport): QueueItem | undefined {
+    const waiting = this._waiting.get(ticket)
+    if (waiting !== undefined) {
+      this._removeWaiting(waiting)
+      this._shares.noteDeparture(waiting.customer)
+      return waiting
+    }
+    const running = this._inFlight.get(ticket)
+    if (running === undefined) return undefined
+    this._inFlight.delete(ticket)
+    this._inFlightByRank[running.rank]--
+    this._shares.noteDeparture(running.customer)
+    if (report?.isSuccess === true) this._learn(running, report)
+    return running
+  }
+
+  /** Steps whose deadline has passed while they waited. */
+  expired (nowMs: number): QueueItem[] {
+    return [...this._waiting.values()].filter(item => item.deadlineMs <= nowMs)
+  }
+
+  /** Expected wait of a new step of a rank: work ahead of it over the rate at which slots come free. */
+  expectedWaitMs (rank: Rank): number {
+    const slots = Math.max(1, this.limit.value)
+    const ahead = rank === Rank.Urgent ? this._waitingByRank.urgent : this._waiting.size
+    const free = slots - this._inFlight.size
+    if (free > ahead) return 0
+    return (ahead + 1 - Math.max(0, free)) * this._serviceMs.value / slots
+  }
+
+  private _learn (item: QueueItem, report: SlotReport): void {
+    this._serviceMs.add(report.serviceMs)
+    this._shares.noteService(item.customer, report.serviceMs)
+    this.limit.note(report.tokenGapMs, this._waiting.size > 0, this._options.maxConcurrency())
+  }
+
+  private _start (item: QueueItem, nowMs: number): void {
+    item.grantedAtMs = nowMs
+    this._inFlight.set(item.ticket, item)
+    this._inFlightByRank[item.rank]++
+  }
+
+  private _removeWaiting (item: QueueItem): void {
+    this._waiting.delete(item.ticket)
+    this._waitingByRank[item.rank]--
+  }
+
+  private _oldest (): QueueItem | undefined {
+    for (const item of this._waiting.values()) {
+      if (this._mayStart(item)) return item
+    }
+    return undefined
+  }
+
+  /** Urgent first, unless the other rank is below its floor; see `isBefore` for the order inside a rank. */
+  private _mostUrgent (): QueueItem | undefined {
+    const first = this._isBelowFloor(Rank.Other) && !this._isBelowFloor(Rank.Urgent) ? Rank.Other : Rank.Urgent
+    const second = first === Rank.Urgent ? Rank.Other : Rank.Urgent
+    return this._bestOf(first) ?? this._bestOf(second)
+  }
+
+  private _isBelowFloor (rank: Rank): boolean {
+    return this._waitingByRank[rank] > 0 && this._inFlightByRank[rank] < Math.floor(this._options.floors()[rank] * this.limit.value)
+  }
+
+  private _bestOf (rank: Rank): QueueItem | undefined {
+    if (this._waitingByRank[rank] === 0) return undefined
+    let best: QueueItem | undefined
+    for (const item of this._waiting.values()) {
+      if (item.rank !== rank || !this._mayStart(item)) continue
+      if (best === undefined || this._isBefore(item, best)) best = item
+    }
+    return best
+  }
+
+  private _mayStart (item: QueueItem): boolean {
+    return !item.isSuspect || ![...this._inFlight.values()].some(running => running.isSuspect)
+  }
+
+  /** Started programs first, then the customer with the least service, then the least slack, then the more attained. */
+  private _isBefore (left: QueueItem, right: QueueItem): boolean {
+    if (left.isFirstStep !== right.isFirstStep) return right.isFirstStep
+    const leftShare = this._shares.attained(left.customer)
+    const rightShare = this._shares.attained(right.customer)
+    if (leftShare !== rightShare) return leftShare < rightShare
+    if (left.dueAtMs !== right.dueAtMs) return left.dueAtMs < right.dueAtMs
+    return left.attainedSteps > right.attainedSteps
+  }
+}
--- /dev/null
+++ b/packages/core/src/common/programs/budget.ts
@@ -0,0 +1,67 @@
+/** Reserves and settles what a tree of programs may use. */
+import { type Either, Left, Right } from 'purify-ts'
+import type { StepCall } from '../kernel/callerMessages.js'
+import type { LiveProgram } from './liveProgram.js'
+
+/** Characters that count as one token when only text is known. */
+const CHARACTERS_PER_TOKEN = 4
+
+/** What a step may use; `maxTokens` is the most that an engine may generate. */
+export interface Reservation {
+  promptTokens: number
+  maxTokens: number
+}
+
+/** Why a step does not fit. */
+export interface BudgetProblem {
+  field: 'tokens' | 'steps' | 'toolCalls' | 'wallTimeMs'
+  limit: number
+}
+
+/** Tokens of a text, estimated from its length. */
+export function countTokens (text: string): number {
+  return Math.ceil(text.length / CHARACTERS_PER_TOKEN)
+}
+
+/** Tokens that the caller adds to the history with a call. */
+export function promptTokensOf (call: StepCall): number {
+  if (call.type !== 'model') return 0
+  return call.messages.reduce((sum, message) => sum + countTokens(message.content), 0)
+}
+
+/** Tokens of the tree's budget that are neither used nor set aside by running steps. */
+export function tokensLeft (root: LiveProgram): number {
+  return root.state.budget.tokens - root.state.spent.tokens - root.outstandingTokens
+}
+
+/**
+ * Checks a step against the budget of its tree and sets aside what it may use.
+ *
+ * @returns the reservation with `maxTokens` lowered to what is left, or the limit that the step would break.
+ */
+export function reserveBudget (root: LiveProgram, call: StepCall, nowMs: number): Either<BudgetProblem, Reservation> {
+  const { budget, spent, openedAtMs } = root.state
+  if (nowMs - openedAtMs >= budget.wallTimeMs) return Left({ field: 'wallTimeMs', limit: budget.wallTimeMs })
+  if (spent.steps >= budget.steps) return Left({ field: 'steps', limit: budget.steps })
+  if (call.type === 'service') {
+    if (spent.toolCalls >= budget.toolCalls) return Left({ field: 'toolCalls', limit: budget.toolCalls })
+    return Right({ promptTokens: 0, maxTokens: 0 })
+  }
+  const promptTokens = promptTokensOf(call)
+  const maxTokens = Math.min(call.maxTokens, tokensLeft(root) - promptTokens)
+  if (maxTokens < 1) return Left({ field: 'tokens', limit: budget.tokens })
+  root.outstandingTokens += promptTokens + maxTokens
+  return Right({ promptTokens, maxTokens })
+}
+
+/** Gives back what a step had set aside. */
+export function releaseReservation (root: LiveProgram, reservation: Reservation): void {
+  root.outstandingTokens -= reservation.promptTokens + reservation.maxTokens
+}
+
+/** Counts a finished step. */
+export function settleSpending (root: LiveProgram, call: StepCall, spentTokens: number): void {
+  root.state.spent.steps++
+  root.state.spent.tokens += spentTokens
+  if (call.type === 'service') root.state.spent.toolCalls++
+}
--- /dev/null
+++ b/packages/core/src/common/programs/index.ts
@@ -0,0 +1,7 @@
+export * from './budget.js'
+export * from './liveProgram.js'
+export * from './programRouting.js'
+export * from './programState.js'
+export * from './programTable.js'
+export * from './stepDecision.js'
+export * from './takeover.js'
--- /dev/null
+++ b/packages/core/src/common/programs/programClosing.ts
@@ -0,0 +1,46 @@
+/** Ends programs: by request, by timeout or by budget. */
+import { inject, injectable } from 'tsyringe'
+import { IClock } from '../kernel/clock.js'
+import { ILogger } from '../kernel/effectQueue.js'
+import type { LiveProgram } from './liveProgram.js'
+import { IProgramTable } from './programTable.js'
+
+/** Closes programs with everything that belongs to them. */
+export interface IProgramClosing {
+  /** Closes a program and its sub-agents; running model calls are cancelled. */
+  close (program: LiveProgram, reason: string): void
+}
+export const IProgramClosing = Symbol('IProgramClosing')
+
+@injectable()
+export class ProgramClosing implements IProgramClosing {
+  constructor (
+    @inject(IClock) private readonly _clock: IClock,
+    @inject(IProgramTable) private readonly _programs: IProgramTable,
+    @inject(ILogger) private readonly _logger: ILogger
+  ) {}
+
+  close (program: LiveProgram, reason: string): void {
+    const descendants = this._programs.treeOf(program.state.root).filter(child => this._isBelow(child, program))
+    for (const member of [program, ...descendants]) this._closeOne(member, reason)
+  }
+
+  private _isBelow (child: LiveProgram, ancestor: LiveProgram): boolean {
+    let parentId = child.state.parent
+    while (parentId !== undefined) {
+      if (parentId === ancestor.state.programId) return true
+      parentId = this._programs.get(parentId)?.state.parent
+    }
+    return false
+  }
+
+  private _closeOne (program: LiveProgram, reason: string): void {
+    if (program.state.closedReason !== undefined) return
+    program.running?.cancel?.('closed')
+    program.state.closedReason = reason
+    program.closedAtMs = this._clock.nowMs()
+    program.journal.append({ type: 'programClosed', programId: program.state.programId, reason }, () => {})
+    this._logger.info('programClosed', { program: program.state.programId, reason, steps: program.state.turns.length })
+    this._programs.noteClosed(program)
+  }
+}
--- /dev/null
+++ b/packages/core/src/common/programs/programOpening.ts
@@ -0,0 +1,225 @@
+/** Opens programs: chooses the home, admits or refuses, records. */
+import { inject, injectable } from 'tsyringe'
+import { ICallers, type CallerExchange } from '../kernel/callerPort.js'
+import { type OpenRequest, Reason } from '../kernel/callerMessages.js'
+import { IClock } from '../kernel/clock.js'
+import { NodeIdentity } from '../kernel/node.js'
+import { CoreSettings } from '../kernel/settings.js'
+import { ITimers } from '../kernel/timers.js'
+import { IConfiguration } from '../configuration/configuration.js'
+import type { WorkKind } from '../configuration/document.js'
+import { IJournal } from '../journal/journal.js'
+import { IMembership } from '../membership/membership.js'
+import type { Offer } from '../peers/messages.js'
+import { ILeadTable } from '../placement/leadTable.js'
+import { ILeads } from '../placement/leads.js'
+import { IPlacement } from '../placement/placement.js'
+import { appendWithin } from './durability.js'
+import { createLiveProgram, type LiveProgram } from './liveProgram.js'
+import { historyDigestOf, type ProgramState, toProgramId } from './programState.js'
+import { IProgramRouting } from './programRouting.js'
+import { IProgramTable } from './programTable.js'
+
+const NOT_READY_RETRY_MS = 1_000
+const NO_WORKER_RETRY_MS = 2_000
+const CUSTOMER_LIMIT_RETRY_MS = 5_000
+const MAX_OPEN_KEYS = 50_000
+
+type OpenExchange = CallerExchange<OpenRequest>
+
+/** What is known when the home creates a program. */
+interface Creation {
+  exchange: OpenExchange
+  kind: WorkKind
+  parent?: LiveProgram
+  worker?: string
+}
+
+@injectable()
+export class ProgramOpening {
+  private readonly _byOpenKey = new Map<string, string>()
+  private _lastSequence = 0
+
+  constructor (
+    @inject(NodeIdentity) private readonly _identity: NodeIdentity,
+    @inject(CoreSettings) private readonly _settings: CoreSettings,
+    @inject(IClock) private readonly _clock: IClock,
+    @inject(ITimers) private readonly _timers: ITimers,
+    @inject(ICallers) private readonly _callers: ICallers,
+    @inject(IConfiguration) private readonly _configuration: IConfiguration,
+    @inject(IJournal) private readonly _journal: IJournal,
+    @inject(IMembership) private readonly _membership: IMembership,
+    @inject(ILeadTable) private readonly _leadTable: ILeadTable,
+    @inject(ILeads) private readonly _leads: ILeads,
+    @inject(IPlacement) private readonly _placement: IPlacement,
+    @inject(IProgramRouting) private readonly _routing: IProgramRouting,
+    @inject(IProgramTable) private readonly _programs: IProgramTable
+  ) {}
+
+  start (): void {
+    this._callers.handle('open', exchange => this._open(exchange))
+  }
+
+  private _open (exchange: OpenExchange): void {
+    const { request } = exchange
+    if (this._configuration.document === undefined) {
+      this._refuse(exchange, Reason.NotReady, 'no configuration is known yet', NOT_READY_RETRY_MS)
+      return
+    }
+    const kind = this._configuration.findKind(request.kind)
+    if (kind === undefined || this._configuration.findCustomer(request.customer) === undefined) {
+      this._refuse(exchange, Reason.UnknownKind, `no work kind "${request.kind}" for customer "${request.customer}"`)
+      return
+    }
+    if (this._answerKnown(exchange)) return
+    if (request.parent !== undefined) this._openChild(exchange, kind, request.parent)
+    else if (request.placedWorker !== undefined) this._openHere(exchange, kind, request.placedWorker)
+    else this._place(exchange, kind)
+  }
+
+  /** An opening that was sent again gets the program of the first one. */
+  private _answerKnown (exchange: OpenExchange): boolean {
+    const known = this._byOpenKey.get(openKeyOf(exchange.request))
+    const program = known === undefined ? undefined : this._programs.get(known)
+    if (program === undefined) return false
+    this._answer(exchange, program, true)
+    return true
+  }
+
+  private _openChild (exchange: OpenExchange, kind: WorkKind, parentId: string): void {
+    this._routing.route(exchange, parentId, parent => {
+      const root = this._programs.rootOf(parent)
+      const isForeign = parent.state.customer !== exchange.request.customer
+      if (isForeign) this._refuse(exchange, Reason.NotFound, 'no such parent program')
+      else if (parent.state.closedReason !== undefined) this._refuse(exchange, Reason.Closed, 'the parent program is closed')
+      else if (parent.isMoving) this._refuse(exchange, Reason.HomeMoved, 'the parent program is moving', NOT_READY_RETRY_MS)
+      else if (parent.state.depth + 1 > root.state.budget.depth) this._refuse(exchange, Reason.BudgetExceeded, `the budget allows ${root.state.budget.depth} levels of sub-agents`)
+      else this._create({ exchange, kind, parent })
+    }, () => this._refuse(exchange, Reason.NotFound, 'no such parent program'))
+  }
+
+  private _place (exchange: OpenExchange, kind: WorkKind): void {
+    const model = kind.models.at(0)
+    if (model === undefined) {
+      if (this._membership.isDraining) this._refuseDraining(exchange)
+      else this._create({ exchange, kind })
+      return
+    }
+    const query = { model, customer: exchange.request.customer, kind: kind.name, rank: kind.rank, excluded: new Set<string>() }
+    this._placement.collectOffers(query, offers => this._takeOffer(exchange, kind, offers))
+  }
+
+  private _takeOffer (exchange: OpenExchange, kind: WorkKind, offers: Offer[]): void {
+    const best = offers.at(0)
+    if (best === undefined) {
+      this._refuse(exchange, Reason.NoBackend, 'no worker of the model is available', NO_WORKER_RETRY_MS)
+      return
+    }
+    if (!best.isAdmitted) {
+      this._refuse(exchange, Reason.Overloaded, 'the workers carry all the programs they can', best.retryAfterMs)
+      return
+    }
+    const lead = this._leadTable.leadOf(best.worker)
+    if (lead === undefined || lead.node === this._identity.node) {
+      this._openHere(exchange, kind, best.worker)
+      return
+    }
+    const placed = { ...exchange, request: { ...exchange.request, placedWorker: best.worker } }
+    this._callers.forward(placed, { node: lead.node, incarnation: lead.incarnation ?? '', address: lead.address }, ({ wasSent }) => {
+      this._membership.markUnreachable(lead.node)
+      if (wasSent) this._callers.reply(exchange.requestId, { type: 'unknown', reason: Reason.HomeUnreachable, detail: `the connection to ${lead.node} broke`, programId: '', step: 0, retryAfterMs: NOT_READY_RETRY_MS })
+      else this._takeOffer(exchange, kind, offers.slice(1))
+    })
+  }
+
+  private _openHere (exchange: OpenExchange, kind: WorkKind, worker: string): void {
+    if (this._membership.isDraining) {
+      this._refuseDraining(exchange)
+      return
+    }
+    const customer = this._configuration.findCustomer(exchange.request.customer)
+    if (customer !== undefined && this._programs.countOpen(customer.name) >= customer.maxOpenPrograms) {
+      this._refuse(exchange, Reason.Overloaded, 'the customer has too many open programs', CUSTOMER_LIMIT_RETRY_MS)
+      return
+    }
+    const programId = this._nextProgramId()
+    if (!this._leads.tryAdmit(worker, programId, kind.rank, kind.name)) {
+      this._refuse(exchange, Reason.Overloaded, 'the worker carries all the programs it can', this._leads.createOffer(worker, kind.rank, kind.name).retryAfterMs)
+      return
+    }
+    this._create({ exchange, kind, worker }, programId)
+  }
+
+  private _create ({ exchange, kind, parent, worker }: Creation, programId = this._nextProgramId()): void {
+    const nowMs = this._clock.nowMs()
+    const { request } = exchange
+    const state: ProgramState = {
+      programId,
+      customer: request.customer,
+      kind: kind.name,
+      rank: parent?.state.rank ?? kind.rank,
+      openKey: request.key,
+      parent: parent?.state.programId,
+      root: parent?.state.root ?? programId,
+      depth: (parent?.state.depth ?? -1) + 1,
+      budget: parent?.state.budget ?? kind.budget,
+      openedAtMs: nowMs,
+      dueAtMs: parent?.state.dueAtMs ?? nowMs + (request.targetMs ?? kind.targetMs),
+      turns: [],
+      spent: { tokens: 0, steps: 0, toolCalls: 0 },
+      reservedTokens: 0
+    }
+    const program = createLiveProgram(state, this._journal.current, nowMs)
+    if (worker !== undefined && kind.models.length > 0) program.workers.set(kind.models[0], worker)
+    this._programs.add(program)
+    this._rememberKey(request, programId)
+    appendWithin({
+      journal: program.journal,
+      timers: this._timers,
+      record: { type: 'programSnapshot', program: structuredCopy(state) },
+      waitMs: this._settings.turnDurabilityWaitMs,
+      onSettled: durability => {
+        if (durability === 'fenced') this._refuse(exchange, Reason.HomeMoved, 'the node was replaced', NOT_READY_RETRY_MS)
+        else this._answer(exchange, program, durability === 'durable')
+      }
+    })
+  }
+
+  private _answer (exchange: OpenExchange, program: LiveProgram, durable: boolean): void {
+    const { node, incarnation, address } = this._identity
+    this._callers.reply(exchange.requestId, {
+      type: 'opened',
+      programId: program.state.programId,
+      home: { node, incarnation, address },
+      historyDigest: historyDigestOf(program.state),
+      durable
+    })
+  }
+
+  private _refuseDraining (exchange: OpenExchange): void {
+    this._refuse(exchange, Reason.Draining, 'the node is stopping; use another address', 0)
+  }
+
+  private _refuse (exchange: OpenExchange, reason: Reason, detail: string, retryAfterMs?: number): void {
+    this._callers.reply(exchange.requestId, { type: 'notRun', reason, detail, retryAfterMs })
+  }
+
+  private _nextProgramId (): string {
+    this._lastSequence++
+    return toProgramId({ node: this._identity.node, incarnation: this._identity.incarnation, sequence: this._lastSequence.toString(36) })
+  }
+
+  private _rememberKey (request: OpenRequest, programId: string): void {
+    this._byOpenKey.set(openKeyOf(request), programId)
+    if (this._byOpenKey.size > MAX_OPEN_KEYS) this._byOpenKey.delete(this._byOpenKey.keys().next().value as string)
+  }
+}
+
+function openKeyOf (request: OpenRequest): string {
+  return `${request.customer} ${request.key}`
+}
+
+/** The record keeps its own copy: the live state goes on changing. */
+function structuredCopy (state: ProgramState): ProgramState {
+  return { ...state, turns: [], spent: { ...state.spent } }
+}
--- /dev/null
+++ b/packages/core/src/common/programs/programs.contribution.ts
@@ -0,0 +1,38 @@
+import { type IPlugin, registerPlugin } from '../kernel/plugin.js'
+import { ClaimResolver } from './claimResolver.js'
+import { IProgramClosing, ProgramClosing } from './programClosing.js'
+import { ProgramOpening } from './programOpening.js'
+import { ProgramRequests } from './programRequests.js'
+import { IProgramRouting, ProgramRouting } from './programRouting.js'
+import { IProgramTable, ProgramTable } from './programTable.js'
+import { Retention } from './retention.js'
+import { IStepRunner, StepRunner } from './stepRunner.js'
+import { ITakeover, Takeover } from './takeover.js'
+
+registerPlugin({
+  name: 'programs',
+  register (container) {
+    container.registerSingleton(IProgramTable, ProgramTable)
+    container.registerSingleton(IProgramClosing, ProgramClosing)
+    container.registerSingleton(ClaimResolver)
+    container.registerSingleton(IStepRunner, StepRunner)
+    container.registerSingleton(Takeover)
+    container.register(ITakeover, { useToken: Takeover })
+    container.registerSingleton(IProgramRouting, ProgramRouting)
+  },
+  create (container): IPlugin {
+    const opening = container.resolve(ProgramOpening)
+    const requests = container.resolve(ProgramRequests)
+    const takeover = container.resolve(Takeover)
+    const retention = container.resolve(Retention)
+    return {
+      start () {
+        opening.start()
+        requests.start()
+        takeover.start()
+        retention.start()
+      },
+      dispose () {}
+    }
+  }
+})
--- /dev/null
+++ b/packages/node/src/node/logger.ts
@@ -0,0 +1,33 @@
+/** Writes log events through tslog, one line of key=value pairs each. */
+import { Logger } from 'tslog'
+import type { LogFields, LogLevel } from '@trefoilshunt/core'
+import { formatLogLine } from '../common/logLine.js'
+
+const LEVELS = { info: 3, warn: 4, error: 5, silent: 7 } as const
+
+export interface IEventLog {
+  write (level: LogLevel, event: string, fields: LogFields): void
+}
+
+/** Lines go to standard error, so that standard output stays free for results. */
+export class EventLog implements IEventLog {
+  private readonly _logger: Logger<unknown>
+
+  constructor (minLevel: keyof typeof LEVELS, private readonly _writeLine: (line: string) => void = line => process.stderr.write(line)) {
+    this._logger = new Logger({
+      type: 'pretty',
+      minLevel: LEVELS[minLevel],
+      stylePrettyLogs: false,
+      hideLogPositionForProduction: true,
+      prettyLogTemplate: '',
+      overwrite: { transportFormatted: (_meta, args) => this._writeLine(`${args.join(' ')}\n`) }
+    })
+  }
+
+  write (level: LogLevel, event: string, fields: LogFields): void {
+    const line = formatLogLine(level, event, fields, new Date().toISOString())
+    if (level === 'error') this._logger.error(line)
+    else if (level === 'warn') this._logger.warn(line)
+    else this._logger.info(line)
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/common/engineApi.ts
@@ -0,0 +1,77 @@
+/** The wire of model engines: chat completions with a few extensions, load reports, cache release and orders. */
+import { z } from 'zod'
+import type { EngineRequest, EngineStatus } from '@trefoilshunt/core'
+
+export const engineRequestSchema = z.object({
+  model: z.string(),
+  messages: z.array(z.object({ role: z.enum(['system', 'user', 'assistant', 'tool']), content: z.string() })),
+  max_tokens: z.int().positive(),
+  stream: z.literal(true),
+  priority: z.number(),
+  cache: z.object({ session: z.string(), retain_ms: z.number() })
+})
+export type EngineBody = z.infer<typeof engineRequestSchema>
+
+/** One chunk of a completion stream; the last one carries the usage. */
+export const engineChunkSchema = z.object({
+  choices: z.array(z.object({ delta: z.object({ content: z.string().optional() }), finish_reason: z.string().nullish() })).default([]),
+  /** Tokens in this chunk; one when absent. */
+  tokens: z.int().nonnegative().optional(),
+  usage: z.object({
+    prompt_tokens: z.int().nonnegative(),
+    completion_tokens: z.int().nonnegative(),
+    prompt_tokens_details: z.object({ cached_tokens: z.int().nonnegative() }).optional()
+  }).nullish()
+})
+export type EngineChunk = z.infer<typeof engineChunkSchema>
+
+export const engineStatusSchema: z.ZodType<EngineStatus> = z.object({
+  model: z.string(),
+  activeRequests: z.int().nonnegative(),
+  queuedRequests: z.int().nonnegative(),
+  kvTokensUsed: z.number().nonnegative(),
+  kvTokensCapacity: z.number().nonnegative(),
+  heldSessions: z.array(z.object({ session: z.string(), tokens: z.number() }))
+})
+
+export const ENGINE_PATHS = {
+  completions: '/v1/chat/completions',
+  status: '/v1/status',
+  release: '/v1/cache/release',
+  exportCache: '/v1/cache/export',
+  importCache: '/v1/cache/import',
+  load: '/v1/models/load'
+} as const
+
+/** Header of a refusal: the back end has not run the request. */
+export const NOT_RUN_HEADER = 'x-not-run'
+/** Header of a back end that takes no new work any more. */
+export const LEAVING_HEADER = 'x-leaving'
+/** Path of a service that tells what became of an idempotency key. */
+export const SERVICE_LOOKUP_PATH = '/calls/'
+export const IDEMPOTENCY_HEADER = 'idempotency-key'
+
+/** The body that an engine gets. */
+export function toEngineBody (request: EngineRequest): EngineBody {
+  return {
+    model: request.model,
+    messages: request.messages,
+    max_tokens: request.maxTokens,
+    stream: true,
+    priority: request.priority,
+    cache: { session: request.session, retain_ms: request.retainMs }
+  }
+}
+
+/** The core's request behind a checked engine body. */
+export function fromEngineBody (body: EngineBody): EngineRequest {
+  return {
+    type: 'model',
+    model: body.model,
+    messages: body.messages,
+    maxTokens: body.max_tokens,
+    priority: body.priority,
+    session: body.cache.session,
+    retainMs: body.cache.retain_ms
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,7 @@
+/** Wires of trefoilshunt. */
+export * from './common/callerApi.js'
+export * from './common/engineApi.js'
+export * from './common/jsonc.js'
+export * from './common/peerApi.js'
+export * from './common/platformApi.js'
+export * from './common/serverSentEvents.js'
--- /dev/null
+++ b/packages/standins/src/common/weightStore.ts
@@ -0,0 +1,15 @@
+/** The platform's weight store: it hands out model weights at a limited rate. */
+import type { IStandinHost } from './standinHost.js'
+
+export class WeightStore {
+  private _freeAtMs = 0
+
+  constructor (private readonly _bytesPerSecond: number, private readonly _host: IStandinHost) {}
+
+  /** Calls `onLoaded` when `bytes` have been read; loads queue up behind each other. */
+  load (bytes: number, onLoaded: () => void): void {
+    const startMs = Math.max(this._freeAtMs, this._host.nowMs())
+    this._freeAtMs = startMs + bytes / this._bytesPerSecond * 1000
+    this._host.after(this._freeAtMs - this._host.nowMs(), onLoaded)
+  }
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,11 @@
+/** Stand-ins of the systems that trefoilshunt talks to. */
+export * from './common/answers.js'
+export * from './common/logService.js'
+export * from './common/modelEngine.js'
+export * from './common/standinHost.js'
+export * from './common/toolService.js'
+export * from './common/vmList.js'
+export * from './common/weightStore.js'
+export * from './node/engineServer.js'
+export * from './node/platformServer.js'
+export * from './node/toolServer.js'
--- /dev/null
+++ b/packages/standins/src/node/realHost.ts
@@ -0,0 +1,11 @@
+/** Real time for stand-ins that run as servers. */
+import { toDisposable } from '@trefoilshunt/core'
+import type { IStandinHost } from '../common/standinHost.js'
+
+export const realHost: IStandinHost = {
+  nowMs: () => Date.now(),
+  after: (delayMs, action) => {
+    const timer = setTimeout(action, delayMs)
+    return toDisposable(() => clearTimeout(timer))
+  }
+}
--- /dev/null
+++ b/packages/standins/src/node/standinServer.ts
@@ -0,0 +1,88 @@
+/** What the HTTP servers of all stand-ins share. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { App } from '@tinyhttp/app'
+
+const MAX_BODY_BYTES = 64_000_000
+
+/** A request with its parts read. */
+export interface StandinRequest {
+  params: Record<string, string>
+  query: URLSearchParams
+  headers: IncomingMessage['headers']
+  body: unknown
+  response: ServerResponse
+}
+
+export type StandinRoute = (request: StandinRequest) => void
+
+/** An HTTP server on loopback. */
+export class StandinServer {
+  private readonly _app = new App({ settings: { networkExtensions: false } })
+  private readonly _server: Server
+
+  constructor () {
+    this._server = createServer((request, response) => { void this._app.handler(request as never, response as never) })
+  }
+
+  get (path: string, route: StandinRoute): void {
+    this._app.get(path, wrap(route) as never)
+  }
+
+  post (path: string, route: StandinRoute): void {
+    this._app.post(path, wrap(route) as never)
+  }
+
+  /** `host:port`; known once `listen` has ended. */
+  get address (): string {
+    const address = this._server.address()
+    return typeof address === 'object' && address !== null ? `127.0.0.1:${address.port}` : ''
+  }
+
+  async listen (port = 0): Promise<void> {
+    await new Promise<void>(resolve => this._server.listen(port, '127.0.0.1', resolve))
+  }
+
+  /** Drops every connection, as a crash does. */
+  dropConnections (): void {
+    this._server.closeAllConnections()
+  }
+
+  async close (): Promise<void> {
+    await new Promise<void>(resolve => {
+      this._server.close(() => resolve())
+      this._server.closeAllConnections()
+    })
+  }
+}
+
+export function sendJson (response: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}): void {
+  if (response.destroyed || response.headersSent) return
+  response.writeHead(status, { 'content-type': 'application/json', ...headers }).end(JSON.stringify(body))
+}
+
+function wrap (route: StandinRoute) {
+  return async (request: IncomingMessage & { params: Record<string, string> }, response: ServerResponse): Promise<void> => {
+    const text = await readText(request)
+    const query = new URL(request.url ?? '/', 'http://localhost').searchParams
+    route({ params: request.params, query, headers: request.headers, body: text === '' ? undefined : parse(text), response })
+  }
+}
+
+async function readText (request: IncomingMessage): Promise<string> {
+  const parts: Buffer[] = []
+  let size = 0
+  for await (const part of request) {
+    size += (part as Buffer).length
+    if (size > MAX_BODY_BYTES) return ''
+    parts.push(part as Buffer)
+  }
+  return Buffer.concat(parts).toString('utf8')
+}
+
+function parse (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/testing/src/common/checkers/violation.ts
@@ -0,0 +1,5 @@
+/** What a checker reports. */
+export interface Violation {
+  rule: string
+  detail: string
+}
--- /dev/null
+++ b/packages/testing/src/common/host/fleet.ts
@@ -0,0 +1,440 @@
+/** A fleet in virtual time: nodes, stand-ins and callers joined by links with delays. A test host, not a network model. */
+import {
+  type BackendEvent, type BackendRequest, type CallerReply, type CallerRequest, type CoreSettings, type Effect, type IDisposable,
+  type LogFields, type NodeIdentity, SeededRandom, toDisposable, type VmEntry, VmRole, VmState
+} from '@trefoilshunt/core'
+import type { ICallerTransport, IClientHost, SendOptions, TransportResult } from '@trefoilshunt/client'
+import { createToolDatabase, LogService, type LogServiceOptions, ModelEngine, type ModelEngineOptions, type ToolDatabase, ToolService, VmList } from '@trefoilshunt/standins'
+import { settlePromises } from '../../node/settlePromises.js'
+import type { ICallerWorld } from '../workload/programDriver.js'
+import { EventQueue } from './eventQueue.js'
+import { type IEffectRunner, VirtualNode } from './virtualNode.js'
+
+const VM_POLL_MS = 2_000
+const LOG_LATENCY_MS = 2
+const BACKEND_LATENCY_MS = 0.5
+const CONNECT_FAILURE_MS = 1
+/** Time after which a message into a cut link counts as undeliverable. */
+const CUT_TIMEOUT_MS = 1_000
+const HOME_ADDRESS_PORT = 7300
+
+export interface FleetOptions {
+  seed: number
+  zones: string[]
+  nodesPerZone: number
+  /** Environment that the nodes serve. */
+  environment: string
+  /** One-way delay between zones, in milliseconds. */
+  zoneDelayMs: number
+  /** One-way delay between callers and nodes. */
+  callerDelayMs: number
+  vmListLagMs: number
+  settings: Partial<CoreSettings>
+  log: Partial<LogServiceOptions>
+  /** Called for every log line of a node. */
+  onLog?: (node: string, event: string, fields: LogFields, atMs: number) => void
+}
+
+const DEFAULTS: FleetOptions = {
+  seed: 1,
+  zones: ['regina', 'saskatoon', 'brandon'],
+  nodesPerZone: 3,
+  environment: 'production',
+  zoneDelayMs: 1.5,
+  callerDelayMs: 1,
+  vmListLagMs: 3_000,
+  settings: {},
+  log: {}
+}
+
+/** Counts of messages and bytes, by kind. */
+export interface FleetCounters {
+  peerMessages: number
+  logReads: number
+  events: number
+}
+
+interface OpenForward {
+  origin: VirtualNode
+  requestId: string
+}
+
+export class Fleet implements IEffectRunner, ICallerTransport {
+  readonly options: FleetOptions
+  readonly events = new EventQueue()
+  readonly random: SeededRandom
+  readonly log: LogService
+  readonly vmList: VmList
+  readonly nodes = new Map<string, VirtualNode>()
+  readonly engines = new Map<string, ModelEngine>()
+  readonly services = new Map<string, ToolService>()
+  readonly databases = new Map<string, ToolDatabase>()
+  readonly counters: FleetCounters = { peerMessages: 0, logReads: 0, events: 0 }
+  private readonly _zones = new Map<string, string>()
+  private readonly _cuts = new Set<string>()
+  private readonly _replies = new Map<string, (reply: CallerReply) => void>()
+  private readonly _clientRandom: SeededRandom
+  private _lastRequest = 0
+  private _lastIncarnation = 0
+  private _hasClientWork = false
+
+  constructor (options: Partial<FleetOptions> = {}) {
+    this.options = { ...DEFAULTS, ...options }
+    this.random = new SeededRandom(this.options.seed)
+    this._clientRandom = new SeededRandom(this.options.seed + 1)
+    this.log = new LogService(this.options.log, this.events)
+    this.vmList = new VmList(this.options.vmListLagMs, this.events)
+    this.callerWorld.zones.push(...this.options.zones)
+  }
+
+  // Building
+
+  /** Starts the nodes of every zone. */
+  startNodes (): void {
+    for (const zone of this.options.zones) {
+      for (let index = 1; index <= this.options.nodesPerZone; index++) this.startNode(`${zone}-${index}`, zone)
+    }
+    this.vmList.publishNow()
+  }
+
+  /** Starts, or starts anew, the daemon of one entry VM. */
+  startNode (name: string, zone: string): VirtualNode {
+    this._lastIncarnation++
+    const identity: NodeIdentity = {
+      node: name,
+      incarnation: `a${String(this._lastIncarnation).padStart(5, '0')}`,
+      address: `${name}:${HOME_ADDRESS_PORT}`,
+      peerAddress: `${name}:${HOME_ADDRESS_PORT + 1}`,
+      zone,
+      environment: this.options.environment
+    }
+    const node = new VirtualNode({ identity, seed: this.random.nextInt(0x7fffffff), settings: this.options.settings, nowMs: () => this.events.nowMs(), runner: this })
+    this.nodes.set(name, node)
+    this._zones.set(name, zone)
+    this.vmList.put({ name, role: VmRole.Entry, zone, address: identity.address, peerAddress: identity.peerAddress, state: VmState.Live })
+    this.events.after(0, () => {
+      node.handle({ type: 'vmListed', entries: this.vmList.read() })
+      node.handle({ type: 'started' })
+    })
+    this._pollVmList(node)
+    return node
+  }
+
+  addEngines (model: string, count: number, options: Partial<ModelEngineOptions> = {}): void {
+    for (let index = 1; index <= count; index++) {
+      const name = `${model}-${index}`
+      this.engines.set(name, new ModelEngine({ name, model, ...options }, this.events))
+      this._listBackend(name, model, VmRole.Engine, index)
+    }
+  }
+
+  addServices (service: string, count: number, options: { latencyMs?: number, checksIdempotencyKeys?: boolean } = {}): void {
+    const database = createToolDatabase()
+    this.databases.set(service, database)
+    for (let index = 1; index <= count; index++) {
+      const name = `${service}-${index}`
+      this.services.set(name, new ToolService({ name, ...options }, database, this.events))
+      this._listBackend(name, service, VmRole.Service, index)
+    }
+  }
+
+  private _listBackend (name: string, backend: string, role: VmRole, index: number): void {
+    const zone = this.options.zones[index % this.options.zones.length]
+    this._zones.set(name, zone)
+    const entry: VmEntry = { name, role, zone, address: name, backend, state: VmState.Live }
+    this.vmList.put(entry)
+  }
+
+  private _pollVmList (node: VirtualNode): void {
+    this.events.after(VM_POLL_MS, () => {
+      if (!node.isAlive) return
+      node.handle({ type: 'vmListed', entries: this.vmList.read() })
+      this._pollVmList(node)
+    })
+  }
+
+  // Running
+
+  /** Runs until the given virtual time; client code runs between events. */
+  async runUntil (untilMs: number): Promise<void> {
+    while (this.events.runNext(untilMs)) await this._settleClients()
+  }
+
+  private async _settleClients (): Promise<void> {
+    this.counters.events++
+    if (!this._hasClientWork) return
+    this._hasClientWork = false
+    await settlePromises()
+  }
+
+  /** Runs until a promise of client code settles, or the time is up. */
+  async runWhile (work: Promise<unknown>, untilMs: number): Promise<boolean> {
+    const progress = { isDone: false }
+    void work.finally(() => { progress.isDone = true })
+    await settlePromises()
+    for (;;) {
+      if (progress.isDone || !this.events.runNext(untilMs)) return progress.isDone
+      await this._settleClients()
+    }
+  }
+
+  /** Time and chance for client code in this fleet. */
+  readonly clientHost: IClientHost = {
+    nowMs: () => this.events.nowMs(),
+    sleep: async ms => await new Promise<void>(resolve => {
+      this.events.after(ms, () => {
+        this._hasClientWork = true
+        resolve()
+      })
+    }),
+    random: () => this._clientRandom.next()
+  }
+
+  /** This fleet as callers reach it. */
+  readonly callerWorld: ICallerWorld = {
+    host: this.clientHost,
+    zones: [],
+    seeds: () => [...this.nodes.values()].map(node => node.identity.address),
+    transportOf: () => this
+  }
+
+  // Faults
+
+  /** Ends a node's process without warning. */
+  killNode (name: string): void {
+    this.nodes.get(name)?.kill()
+  }
+
+  /** Cuts the link between two machines, both ways; a machine may be named by its zone. */
+  cut (left: string, right: string): void {
+    this._cuts.add(linkKey(left, right))
+  }
+
+  heal (left: string, right: string): void {
+    this._cuts.delete(linkKey(left, right))
+  }
+
+  healAll (): void {
+    this._cuts.clear()
+  }
+
+  zoneOf (machine: string): string {
+    return this._zones.get(machine) ?? ''
+  }
+
+  liveNodes (): VirtualNode[] {
+    return [...this.nodes.values()].filter(node => node.isAlive)
+  }
+
+  private _isCut (left: string, right: string): boolean {
+    if (this._cuts.size === 0) return false
+    const ends = (machine: string) => [machine, this.zoneOf(machine)]
+    return ends(left).some(first => ends(right).some(second => this._cuts.has(linkKey(first, second))))
+  }
+
+  private _delay (left: string, right: string): number {
+    return this.zoneOf(left) === this.zoneOf(right) ? this.options.zoneDelayMs / 5 : this.options.zoneDelayMs
+  }
+
+  // Effects of nodes
+
+  run (node: VirtualNode, effect: Effect): void {
+    switch (effect.type) {
+      case 'setTimer': return this._setTimer(node, effect.timerId, effect.delayMs)
+      case 'cancelTimer':
+        node.timers.get(effect.timerId)?.dispose()
+        node.timers.delete(effect.timerId)
+        return
+      case 'appendLog': return this._appendLog(node, effect)
+      case 'readLog': return this._readLog(node, effect)
+      case 'sendPeer': return this._sendPeer(node, effect)
+      case 'callBackend': return this._callBackend(node, effect)
+      case 'cancelBackend':
+        node.calls.get(effect.callId)?.dispose()
+        node.calls.delete(effect.callId)
+        return
+      case 'reply': return this._reply(effect.requestId, effect.reply)
+      case 'forward': return this._forward(node, effect)
+      case 'log':
+        this.options.onLog?.(node.identity.node, effect.event, effect.fields, this.events.nowMs())
+        return
+      case 'exit':
+        node.hasExited = true
+        node.kill()
+    }
+  }
+
+  private _setTimer (node: VirtualNode, timerId: number, delayMs: number): void {
+    node.timers.set(timerId, this.events.after(delayMs, () => {
+      node.timers.delete(timerId)
+      node.handle({ type: 'timerFired', timerId })
+    }))
+  }
+
+  private _appendLog (node: VirtualNode, effect: Extract<Effect, { type: 'appendLog' }>): void {
+    this.events.after(LOG_LATENCY_MS / 2 + this.log.delayMs, () => {
+      const outcome = this._isCut(node.identity.node, 'log') ? { type: 'ambiguous', detail: 'cut off' } as const : this.log.append(effect.stream, effect.records)
+      this.events.after(LOG_LATENCY_MS / 2, () => node.handle({ type: 'logAppended', operationId: effect.operationId, outcome }))
+    })
+  }
+
+  private _readLog (node: VirtualNode, effect: Extract<Effect, { type: 'readLog' }>): void {
+    this.counters.logReads++
+    this.events.after(LOG_LATENCY_MS / 2 + this.log.delayMs, () => {
+      const outcome = this._isCut(node.identity.node, 'log') ? { type: 'failed', detail: 'cut off' } as const : this.log.read(effect.stream, effect.fromOffset, effect.limit)
+      this.events.after(LOG_LATENCY_MS / 2, () => node.handle({ type: 'logRead', operationId: effect.operationId, outcome }))
+    })
+  }
+
+  private _sendPeer (node: VirtualNode, effect: Extract<Effect, { type: 'sendPeer' }>): void {
+    this.counters.peerMessages++
+    const from = node.identity.node
+    const isCut = this._isCut(from, effect.node)
+    this.events.after(isCut ? CUT_TIMEOUT_MS : this._delay(from, effect.node), () => {
+      const target = this.nodes.get(effect.node)
+      const isReachable = !isCut && target !== undefined && target.isAlive
+      if (isReachable) target.handle({ type: 'peerMessage', envelope: effect.envelope })
+      else node.handle({ type: 'peerFailed', node: effect.node, address: effect.address, messageId: effect.messageId })
+    })
+  }
+
+  // Back ends
+
+  private _callBackend (node: VirtualNode, effect: Extract<Effect, { type: 'callBackend' }>): void {
+    const { callId, worker, request, timeoutMs } = effect
+    let call: IDisposable | undefined
+    let isOver = false
+    const finish = (event: BackendEvent) => {
+      if (isOver) return
+      if (event.type !== 'chunk') {
+        isOver = true
+        timeout.dispose()
+        node.calls.delete(callId)
+      }
+      this.events.after(BACKEND_LATENCY_MS, () => node.handle({ type: 'backendEvent', callId, event }))
+    }
+    const timeout = this.events.after(Math.min(timeoutMs, 600_000), () => {
+      call?.dispose()
+      finish({ type: 'failed', isUntouched: false, isConnectionLost: false, isLeaving: false, detail: 'timed out' })
+    })
+    const isCut = this._isCut(node.identity.node, worker)
+    this.events.after(BACKEND_LATENCY_MS, () => {
+      if (isOver) return
+      if (isCut) finish({ type: 'failed', isUntouched: true, isConnectionLost: false, isLeaving: false, detail: 'no route' })
+      else call = this._dispatch(worker, request, finish)
+    })
+    node.calls.set(callId, toDisposable(() => {
+      isOver = true
+      timeout.dispose()
+      call?.dispose()
+    }))
+  }
+
+  private _dispatch (worker: string, request: BackendRequest, listener: (event: BackendEvent) => void): IDisposable | undefined {
+    const engine = this.engines.get(worker)
+    const service = this.services.get(worker)
+    if (request.type === 'model' && engine !== undefined) return engine.call(request, listener)
+    if (request.type === 'service' && service !== undefined) return service.call(request, listener)
+    if (request.type === 'lookup' && service !== undefined) {
+      const result = service.isDown ? undefined : service.lookup(request.idempotencyKey)
+      listener(result === undefined ? backendFailure('unknown key') : { type: 'serviceDone', result })
+    } else if (engine === undefined || engine.isDown) {
+      listener(backendFailure('connection refused'))
+    } else if (request.type === 'status') {
+      listener({ type: 'status', status: engine.status() })
+    } else if (request.type === 'release') {
+      engine.release(request.session)
+      listener({ type: 'ok' })
+    } else if (request.type === 'load') {
+      listener(engine.load(request.model, request.fencingNumber) ? { type: 'ok' } : backendFailure('the fencing number is old'))
+    } else {
+      listener(backendFailure('not supported'))
+    }
+    return undefined
+  }
+
+  // Callers
+
+  /** Sends a caller's request to a node by its address. */
+  async send (address: string, request: CallerRequest, options: SendOptions): Promise<TransportResult> {
+    return await new Promise(resolve => {
+      this._deliver(address, request, 0, this.options.callerDelayMs, options.timeoutMs, reply => {
+        if (reply.type === 'chunk') {
+          options.onChunk?.(reply.text, reply.tokens)
+          return
+        }
+        this._hasClientWork = true
+        resolve({ type: 'reply', reply })
+      }, (wasSent, detail) => {
+        this._hasClientWork = true
+        resolve({ type: 'failed', wasSent, detail })
+      })
+    })
+  }
+
+  private _deliver (address: string, request: CallerRequest, hops: number, delayMs: number, timeoutMs: number, onReply: (reply: CallerReply) => void, onFailure: (wasSent: boolean, detail: string) => void): string {
+    const requestId = `q${++this._lastRequest}`
+    const name = address.slice(0, address.lastIndexOf(':'))
+    let isOver = false
+    const end = () => {
+      isOver = true
+      timeout.dispose()
+      this._replies.delete(requestId)
+      this.nodes.get(name)?.connections.delete(requestId)
+    }
+    const fail = (wasSent: boolean, detail: string) => {
+      if (isOver) return
+      end()
+      onFailure(wasSent, detail)
+    }
+    const timeout = this.events.after(timeoutMs, () => {
+      this.nodes.get(name)?.handle({ type: 'callerGone', requestId })
+      fail(true, 'timed out')
+    })
+    this.events.after(delayMs, () => {
+      const node = this.nodes.get(name)
+      if (isOver) return
+      if (node === undefined || !node.isAlive) {
+        this.events.after(CONNECT_FAILURE_MS, () => fail(false, `${name} refused the connection`))
+        return
+      }
+      node.connections.set(requestId, () => this.events.after(delayMs, () => fail(true, `the connection to ${name} broke`)))
+      this._replies.set(requestId, reply => {
+        this.events.after(delayMs, () => {
+          if (isOver) return
+          if (reply.type !== 'chunk') end()
+          onReply(reply)
+        })
+        if (reply.type !== 'chunk') node.connections.delete(requestId)
+      })
+      node.handle({ type: 'callerRequest', requestId, request, hops })
+    })
+    return requestId
+  }
+
+  private _reply (requestId: string, reply: CallerReply): void {
+    this._replies.get(requestId)?.(reply)
+  }
+
+  private _forward (node: VirtualNode, effect: Extract<Effect, { type: 'forward' }>): void {
+    const { to, request, requestId, hops } = effect
+    const forward: OpenForward = { origin: node, requestId }
+    const delayMs = this._delay(node.identity.node, to.node)
+    if (this._isCut(node.identity.node, to.node)) {
+      this.events.after(CUT_TIMEOUT_MS, () => node.handle({ type: 'forwardFailed', requestId, wasSent: false }))
+      return
+    }
+    const timeoutMs = request.type === 'step' ? request.timeoutMs + 1_000 : 10_000
+    this._deliver(to.address, request, hops, delayMs, timeoutMs,
+      reply => forward.origin.handle({ type: 'forwardReply', requestId: forward.requestId, reply }),
+      wasSent => forward.origin.handle({ type: 'forwardFailed', requestId: forward.requestId, wasSent }))
+  }
+}
+
+function backendFailure (detail: string): BackendEvent {
+  return { type: 'failed', isUntouched: true, isConnectionLost: false, isLeaving: false, detail }
+}
+
+function linkKey (left: string, right: string): string {
+  return left < right ? `${left}|${right}` : `${right}|${left}`
+}
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,11 @@
+/** Test host, scenario language, history checkers and experiments. */
+export * from './common/host/eventQueue.js'
+export * from './common/host/fleet.js'
+export * from './common/host/virtualNode.js'
+export * from './common/workload/documents.js'
+export * from './common/workload/programDriver.js'
+export * from './common/workload/programPlan.js'
+export * from './common/workload/runRecord.js'
+export * from './common/workload/shapes.js'
+export * from './common/checkers/checkRun.js'
+export * from './common/checkers/violation.js'
--- /dev/null
+++ b/scripts/runTests.ts
@@ -0,0 +1,56 @@
+/** Runs every uvu test of the workspace in one process and ends with the counts. */
+import { readdirSync, statSync } from 'node:fs'
+import { join, relative } from 'node:path'
+import { pathToFileURL } from 'node:url'
+
+const TEST_SUFFIX = '.test.ts'
+
+interface UvuGlobals {
+  UVU_DEFER?: number
+  UVU_QUEUE?: Array<[string, ...unknown[]]>
+  UVU_INDEX?: number
+}
+
+function findTests (folder: string): string[] {
+  return readdirSync(folder).sort().flatMap(name => {
+    const path = join(folder, name)
+    if (statSync(path).isDirectory()) return name === 'node_modules' || name === 'dist' ? [] : findTests(path)
+    return name.endsWith(TEST_SUFFIX) ? [path] : []
+  })
+}
+
+/** Reads the totals that uvu prints. */
+function countFrom (output: string): { total: number, passed: number } {
+  const read = (label: string) => Number(new RegExp(`${label}:\\s+(\\d+)`).exec(output)?.[1] ?? NaN)
+  return { total: read('Total'), passed: read('Passed') }
+}
+
+async function main (): Promise<void> {
+  const pattern = process.argv[2] ?? ''
+  const files = [...findTests('packages'), ...findTests('examples')].filter(file => file.includes(pattern))
+  const globals = globalThis as UvuGlobals
+  globals.UVU_DEFER = 1
+  globals.UVU_QUEUE = []
+  // uvu decides at its first import whether it runs tests at once or queues them.
+  const { exec } = await import('uvu')
+  for (const [index, file] of files.entries()) {
+    globals.UVU_INDEX = index
+    globals.UVU_QUEUE.push([relative('.', file)])
+    await import(pathToFileURL(file).href)
+  }
+  let output = ''
+  const write = process.stdout.write.bind(process.stdout)
+  process.stdout.write = ((text: string) => {
+    output += text
+    return write(text)
+  }) as typeof process.stdout.write
+  await exec(false)
+  process.stdout.write = write as typeof process.stdout.write
+  const { total, passed } = countFrom(output)
+  const isRun = Number.isInteger(total) && total > 0
+  if (!isRun || passed !== total) process.exitCode = 1
+  process.stdout.write(`${isRun ? passed : 0} passed, ${isRun ? total - passed : 1} failed\n`)
+  process.exit(process.exitCode ?? 0)
+}
+
+await main()
