Scenario language, fleet checkers and random search over fault schedules

Cause: the promises had no proof under failure. Change: scenarios in JSONC with timed faults, checkers for configuration, leaving workers, planned stops and engine memory, a seeded search that shrinks a failing schedule. Found and mended: a repeatable service call that had been sent could be answered "not run" when it was quarantined or refused later.

--- a/packages/client/src/common/client.ts
+++ b/packages/client/src/common/client.ts
@@ -18,6 +18,12 @@
   Reason.Draining, Reason.BusyStep, Reason.Cancelled
 ])
 
+/** Reasons after which sending the same request again changes nothing. */
+const FINAL_REASONS: ReadonlySet<Reason> = new Set([
+  Reason.Expired, Reason.BudgetExceeded, Reason.Closed, Reason.KeyReused, Reason.HistoryMismatch, Reason.Quarantined, Reason.NotFound,
+  Reason.UnknownBackend, Reason.UnknownKind
+])
+
 export interface ClientOptions {
   customer: string
   transport: ICallerTransport
@@ -259,7 +265,7 @@
 
 function mayTryAgain (reply: CallerReply | undefined): boolean {
   if (reply === undefined) return true
-  if (reply.type === 'unknown') return reply.reason !== Reason.Expired && reply.reason !== Reason.BudgetExceeded
+  if (reply.type === 'unknown') return !FINAL_REASONS.has(reply.reason)
   return reply.type === 'notRun' && PASSING_REASONS.has(reply.reason)
 }
 
--- a/packages/core/src/common/configuration/configuration.ts
+++ b/packages/core/src/common/configuration/configuration.ts
@@ -222,7 +222,8 @@
     if (stored.record.type === 'controlSnapshot') this._oldestNeededMs = stored.record.atMs
     const entry = foldControlRecord(this._state, stored)
     this._settlePublication(stored, entry)
-    this._applyDocument()
+    // Until the end of the stream was reached once, the folded revision is only a step on the way.
+    if (this._hasReadLog) this._applyDocument()
     this._didFold.fire(stored)
   }
 
--- a/packages/core/src/common/dispatch/serviceDispatch.ts
+++ b/packages/core/src/common/dispatch/serviceDispatch.ts
@@ -162,8 +162,7 @@
     const delayMs = this._backoffMs(run.refusals)
     const isTooLate = this._clock.nowMs() + delayMs >= run.job.deadlineMs
     if (isTooLate || run.refusals > this._settings.maxAttempts * 2) {
-      if (run.attempts > 0) this._end(run, { type: 'unknown', reason: Reason.NoBackend, detail })
-      else this._end(run, { type: 'notRun', reason: Reason.NoBackend, detail, retryAfterMs: RETRY_AFTER_MS })
+      this._end(run, { type: 'notRun', reason: Reason.NoBackend, detail, retryAfterMs: RETRY_AFTER_MS })
       return
     }
     if (run.refusals > this._settings.maxAttempts) run.failedWorkers.clear()
@@ -189,10 +188,12 @@
     return this._settings.retryBackoffMs * 2 ** Math.min(4, round - 1) * (0.5 + this._random.next())
   }
 
+  /** A call of which an attempt was sent is never answered with "not run". */
   private _end (run: ServiceRun, outcome: ServiceOutcome): void {
     if (run.isOver) return
     run.isOver = true
-    run.job.onDone(outcome)
+    const mayHaveRun = outcome.type === 'notRun' && run.attempts > 0
+    run.job.onDone(mayHaveRun ? { type: 'unknown', reason: outcome.reason, detail: outcome.detail } : outcome)
   }
 
   /** The worker with the fewest calls of this node, ties broken at random. */
--- a/packages/core/src/common/drain/handoverReceiver.ts
+++ b/packages/core/src/common/drain/handoverReceiver.ts
@@ -101,6 +101,7 @@
       if (this._programs.get(state.programId) !== undefined) continue
       const program = createLiveProgram(state, handover.epoch, nowMs)
       program.formerJournal = handover.journal
+      program.isInherited = true
       this._programs.add(program)
     }
     this._logger.info('programsReceived', { journal: handover.journal, programs: handover.programs.length })
--- a/packages/core/src/common/programs/liveProgram.ts
+++ b/packages/core/src/common/programs/liveProgram.ts
@@ -38,6 +38,10 @@
   closedAtMs?: number
   /** Set while the program is handed to another node: no step may start. */
   isMoving: boolean
+  /** Step that was sent to a back end here and got no recorded result. */
+  sentStep?: number
+  /** True when another node was the home before, which may have sent a step that is not recorded. */
+  isInherited: boolean
   /** Journal of a former home that may hold a late result of the open claim. */
   formerJournal?: string
 }
@@ -54,6 +58,7 @@
     lastActiveMs: nowMs,
     snapshotAtMs: nowMs,
     closedAtMs: state.closedReason === undefined ? undefined : nowMs,
-    isMoving: false
+    isMoving: false,
+    isInherited: false
   }
 }
--- a/packages/core/src/common/programs/programRequests.ts
+++ b/packages/core/src/common/programs/programRequests.ts
@@ -137,7 +137,7 @@
     state.turns = turns
     state.spent = spendingOf(turns)
     if (request.isResend && request.call.type === 'model') state.spent.tokens += promptTokensOf(request.call) + request.call.maxTokens
-    return createLiveProgram(state, this._journal.current, nowMs)
+    return { ...createLiveProgram(state, this._journal.current, nowMs), isInherited: true }
   }
 
   private _view (program: LiveProgram, withHistory: boolean): ProgramView {
--- a/packages/core/src/common/programs/stepRunner.ts
+++ b/packages/core/src/common/programs/stepRunner.ts
@@ -170,7 +170,7 @@
     const kind = this._configuration.findKind(program.state.kind)
     const model = call.model ?? kind?.models.at(0)
     if (model === undefined || this._configuration.findBackend(model)?.type !== 'modelEngine') {
-      this._abort(started, this._notRun(Reason.UnknownBackend, `no model engine "${model}"`))
+      this._abort(started, this._notRun(started, Reason.UnknownBackend, `no model engine "${model}"`))
       return
     }
     running.cancel = reason => this._cancelBeforeDispatch(started, reason)
@@ -212,13 +212,14 @@
     })
     running.cancel = reason => {
       job.dispose()
+      program.sentStep = request.step
       program.carriedTokens += reservation.promptTokens + reservation.maxTokens + chargedBefore
       this._abort(started, this._unknown(started, Reason.Cancelled, `the step was stopped: ${reason}`))
     }
   }
 
   private _cancelBeforeDispatch (started: StartedStep, reason: string): void {
-    this._abort(started, this._notRun(Reason.Cancelled, `the step was stopped: ${reason}`))
+    this._abort(started, this._notRun(started, Reason.Cancelled, `the step was stopped: ${reason}`))
   }
 
   private _handleChunk (running: RunningStep, text: string, tokens: number): void {
@@ -235,8 +236,9 @@
       program.workers.set(model, outcome.worker)
       this._complete(started, outcome.result, reservation.promptTokens + outcome.chargedTokens)
     } else if (outcome.type === 'notRun') {
-      this._abort(started, this._notRun(outcome.reason, outcome.detail, outcome.retryAfterMs))
+      this._abort(started, this._notRun(started, outcome.reason, outcome.detail, outcome.retryAfterMs))
     } else {
+      program.sentStep = started.request.step
       program.carriedTokens += reservation.promptTokens + outcome.chargedTokens
       this._abort(started, this._unknown(started, outcome.reason, outcome.detail, outcome.retryAfterMs))
     }
@@ -275,7 +277,7 @@
 
   private _startService (started: StartedStep, call: ServiceCall): void {
     if (this._configuration.findBackend(call.service)?.type !== 'service') {
-      this._abort(started, this._notRun(Reason.UnknownBackend, `no service "${call.service}"`))
+      this._abort(started, this._notRun(started, Reason.UnknownBackend, `no service "${call.service}"`))
     } else if (call.isRepeatable) {
       this._dispatchService(started, call)
     } else {
@@ -305,7 +307,7 @@
       isOver = true
       pending.cancel()
       program.journal.append({ type: 'claimWithdrawn', programId, step: request.step, attempt }, () => {})
-      this._abort(started, this._notRun(Reason.LogUnavailable, 'the log did not take the claim before the deadline', RETRY_AFTER_MS))
+      this._abort(started, this._notRun(started, Reason.LogUnavailable, 'the log did not take the claim before the deadline', RETRY_AFTER_MS))
     })
     running.cancel = reason => {
       if (isOver) return
@@ -313,7 +315,7 @@
       timeout.dispose()
       pending.cancel()
       program.journal.append({ type: 'claimWithdrawn', programId, step: request.step, attempt }, () => {})
-      this._abort(started, this._notRun(Reason.Cancelled, `the step was stopped: ${reason}`))
+      this._abort(started, this._notRun(started, Reason.Cancelled, `the step was stopped: ${reason}`))
     }
   }
 
@@ -331,6 +333,7 @@
     running.cancel = call.isRepeatable
       ? reason => {
         job.dispose()
+        program.sentStep = request.step
         this._abort(started, this._unknown(started, Reason.Cancelled, `the step was stopped: ${reason}`))
       }
       : undefined
@@ -343,8 +346,9 @@
       this._complete(started, outcome.result, 0)
     } else if (outcome.type === 'notRun') {
       if (isClaimed) this._withdraw(program)
-      this._abort(started, this._notRun(outcome.reason, outcome.detail, outcome.retryAfterMs))
+      this._abort(started, this._notRun(started, outcome.reason, outcome.detail, outcome.retryAfterMs))
     } else {
+      program.sentStep = request.step
       this._abort(started, this._unknown(started, outcome.reason, outcome.detail))
     }
   }
@@ -470,10 +474,16 @@
 
   private _refuse (exchange: StepExchange, program: LiveProgram, reason: Reason, detail: string): void {
     const expected = { step: nextStepOf(program.state), historyDigest: historyDigestOf(program.state) }
+    if (mayHaveRun(program, exchange.request)) {
+      const { programId, step } = exchange.request
+      this._callers.reply(exchange.requestId, { type: 'unknown', reason, detail, programId, step })
+      return
+    }
     this._callers.reply(exchange.requestId, { type: 'notRun', reason, detail, home: this._selfRef(), expected })
   }
 
-  private _notRun (reason: Reason, detail: string, retryAfterMs?: number): CallerReply {
+  private _notRun (started: StartedStep, reason: Reason, detail: string, retryAfterMs?: number): CallerReply {
+    if (mayHaveRun(started.program, started.request)) return this._unknown(started, reason, detail, retryAfterMs)
     return { type: 'notRun', reason, detail, retryAfterMs, home: this._selfRef() }
   }
 
@@ -486,7 +496,7 @@
   /** The claim was void, so this node sent nothing; a step sent before may have been taken up by the new home. */
   private _refusalAfterMove (started: StartedStep): CallerReply {
     if (started.request.isResend) return this._unknown(started, Reason.HomeMoved, 'the program has a new home', RETRY_AFTER_MS)
-    return this._notRun(Reason.HomeMoved, 'the program has a new home', RETRY_AFTER_MS)
+    return this._notRun(started, Reason.HomeMoved, 'the program has a new home', RETRY_AFTER_MS)
   }
 
   private _selfRef (): NodeRef {
@@ -495,6 +505,11 @@
   }
 }
 
+/** True when an earlier copy of the request may have reached a back end, from here or from a former home. */
+function mayHaveRun (program: LiveProgram, request: StepRequest): boolean {
+  return program.sentStep === request.step || (request.isResend && program.isInherited)
+}
+
 /** Equal for every resend of a request, also from a program opened anew that makes the same calls. */
 function fingerprintOf (program: LiveProgram, callDigest: string): string {
   return digestText([program.state.kind, ...program.state.turns.map(turn => turn.callDigest), callDigest].join('|'))
--- a/packages/core/src/common/programs/takeover.ts
+++ b/packages/core/src/common/programs/takeover.ts
@@ -262,6 +262,7 @@
     if (this._programs.get(state.programId) !== undefined) return
     const program = createLiveProgram(state, own, this._clock.nowMs())
     program.formerJournal = formerJournal
+    program.isInherited = true
     this._programs.add(program)
   }
 
--- a/packages/testing/src/common/host/fleet.ts
+++ b/packages/testing/src/common/host/fleet.ts
@@ -10,7 +10,7 @@
 import { EventQueue } from './eventQueue.js'
 import { type IEffectRunner, VirtualNode } from './virtualNode.js'
 
-const VM_POLL_MS = 2_000
+const VM_POLL_MS = 1_000
 const LOG_LATENCY_MS = 2
 const BACKEND_LATENCY_MS = 0.5
 const CONNECT_FAILURE_MS = 1
@@ -54,6 +54,14 @@
   events: number
 }
 
+/** A time in which a machine could not work or not be reached. */
+export interface Disturbance {
+  kind: 'pause' | 'cut' | 'log'
+  machine: string
+  fromMs: number
+  untilMs: number
+}
+
 interface OpenForward {
   origin: VirtualNode
   requestId: string
@@ -70,6 +78,10 @@
   readonly services = new Map<string, ToolService>()
   readonly databases = new Map<string, ToolDatabase>()
   readonly counters: FleetCounters = { peerMessages: 0, logReads: 0, events: 0 }
+  /** Requests that were open when a node ended a planned stop. */
+  readonly cutOffByStop: Array<{ node: string, requests: number }> = []
+  /** Times at which a machine was paused or cut off, for checkers. */
+  readonly disturbances: Disturbance[] = []
   private readonly _zones = new Map<string, string>()
   private readonly _cuts = new Set<string>()
   private readonly _replies = new Map<string, (reply: CallerReply) => void>()
@@ -218,6 +230,12 @@
     this._cuts.clear()
   }
 
+  /** Notes a disturbance that begins now. */
+  noteDisturbance (kind: Disturbance['kind'], machines: string[], forMs: number): void {
+    const fromMs = this.events.nowMs()
+    for (const machine of machines) this.disturbances.push({ kind, machine, fromMs, untilMs: fromMs + forMs })
+  }
+
   zoneOf (machine: string): string {
     return this._zones.get(machine) ?? ''
   }
@@ -260,6 +278,7 @@
         return
       case 'exit':
         node.hasExited = true
+        if (node.connections.size > 0) this.cutOffByStop.push({ node: node.identity.node, requests: node.connections.size })
         node.kill()
     }
   }
--- a/packages/testing/src/common/host/virtualNode.ts
+++ b/packages/testing/src/common/host/virtualNode.ts
@@ -1,5 +1,5 @@
 /** One node in virtual time: a kernel whose effects are carried out by the fleet. */
-import { type Effect, type IDisposable, type InputEvent, Kernel, type NodeIdentity, type CoreSettings } from '@trefoilshunt/core'
+import { type Effect, type IDisposable, type InputEvent, Kernel, type NodeIdentity, type CoreSettings, IProgramTable } from '@trefoilshunt/core'
 
 /** Carries out the effects of a node. */
 export interface IEffectRunner {
@@ -22,6 +22,7 @@
   readonly calls = new Map<number, IDisposable>()
   /** Ends of callers' connections to this node, called when it dies. */
   readonly connections = new Map<string, () => void>()
+  readonly startedAtMs: number
   isAlive = true
   isPaused = false
   /** True when the node has ended by itself after a planned stop. */
@@ -32,6 +33,7 @@
   constructor (options: VirtualNodeOptions) {
     this._options = options
     this.identity = options.identity
+    this.startedAtMs = options.nowMs()
     this.kernel = new Kernel({ identity: options.identity, seed: options.seed, settings: options.settings })
   }
 
@@ -46,6 +48,12 @@
     for (const effect of effects) this._options.runner.run(this, effect)
   }
 
+  /** Open programs whose home is this node. */
+  openPrograms (): string[] {
+    const table = this.kernel.resolve<IProgramTable>(IProgramTable)
+    return [...table.all()].filter(program => program.closedAtMs === undefined).map(program => program.state.programId)
+  }
+
   pause (): void {
     this.isPaused = true
   }
--- /dev/null
+++ b/packages/testing/src/common/scenario/scenarioRunner.ts
@@ -0,0 +1,171 @@
+/** Runs a scenario in virtual time and checks what was seen. */
+import { type ConfigurationDocument, SeededRandom, type CoreSettings } from '@trefoilshunt/core'
+import { Fleet } from '../host/fleet.js'
+import { checkRun } from '../checkers/checkRun.js'
+import { checkFleet, type FleetEvidence } from '../checkers/checkFleet.js'
+import type { Violation } from '../checkers/violation.js'
+import { HARROW_DOCUMENT, PLECIONKA_DOCUMENT } from '../workload/documents.js'
+import { ProgramDriver } from '../workload/programDriver.js'
+import { createPlan, type ProgramPlan } from '../workload/programPlan.js'
+import { RunRecord } from '../workload/runRecord.js'
+import { COACHING_SHAPE, FITTING_SHAPE, FOLLOW_UP_SHAPE, PATTERN_SHAPE } from '../workload/shapes.js'
+import { applyFault, type FaultContext } from './faults.js'
+import type { Scenario } from './scenario.js'
+
+const WARM_UP_MS = 5_000
+const APPLY_TIMEOUT_MS = 15_000
+/** Longest virtual time of a run. */
+const MAX_RUN_MS = 900_000
+/** Time after the last program in which everything must come to rest. */
+const QUIET_MS = 120_000
+const IDLE_TIMEOUT_MS = 60_000
+const STEP_TIMEOUT_MS = 90_000
+
+/** Counts that reports print. */
+export interface ScenarioCounts {
+  programs: number
+  finished: number
+  refused: number
+  steps: number
+  nonRepeatableSteps: number
+  unknownSteps: number
+  faults: number
+  workerCrashes: number
+  virtualMs: number
+}
+
+export interface ScenarioResult {
+  scenario: Scenario
+  counts: ScenarioCounts
+  violations: Violation[]
+  record: RunRecord
+}
+
+export interface ScenarioOptions {
+  /** Overrides of the core's settings, for tests that break a part on purpose. */
+  settings?: Partial<CoreSettings>
+  /** Called with the fleet before it starts. */
+  onWillStart?: (fleet: Fleet) => void
+  onLog?: (line: string) => void
+}
+
+/** Runs one scenario to its end. The same scenario gives the same result every time. */
+export async function runScenario (scenario: Scenario, options: ScenarioOptions = {}): Promise<ScenarioResult> {
+  const document = documentOf(scenario)
+  const evidence: FleetEvidence = { inForce: [], accepted: [], leaving: [] }
+  const fleet = createFleet(scenario, document, evidence, options)
+  options.onWillStart?.(fleet)
+  fleet.startNodes()
+  await fleet.runUntil(WARM_UP_MS)
+  const accepted = await putInForce(fleet, document)
+  const record = new RunRecord()
+  const violations: Violation[] = accepted ? [] : [{ rule: 'scenario', detail: 'the document was not accepted' }]
+  const driver = createDriver(fleet, record, document)
+  const work = startWork(scenario, fleet, driver, document, evidence)
+  const isDone = await fleet.runWhile(work, MAX_RUN_MS)
+  if (!isDone) violations.push({ rule: 'comes to an end', detail: 'callers still waited at the end of the run' })
+  await fleet.runUntil(fleet.events.nowMs() + QUIET_MS)
+  const budgets = new Map(document.workKinds.map(kind => [kind.name, kind.budget]))
+  const engines = [...fleet.engines.values()]
+  violations.push(...checkRun({ record, databases: [...fleet.databases.values()], engines, budgets }))
+  violations.push(...checkFleet(fleet, evidence))
+  const counts = countsOf(scenario, record, fleet)
+  violations.push(...checkExpectations(scenario, counts, record))
+  return { scenario, counts, violations, record }
+}
+
+function documentOf (scenario: Scenario): ConfigurationDocument {
+  const base = scenario.firm === 'harrow' ? HARROW_DOCUMENT : PLECIONKA_DOCUMENT
+  return { ...base, idleTimeoutMs: IDLE_TIMEOUT_MS }
+}
+
+function createFleet (scenario: Scenario, document: ConfigurationDocument, evidence: FleetEvidence, options: ScenarioOptions): Fleet {
+  const fleet = new Fleet({
+    seed: scenario.seed,
+    zones: scenario.zones,
+    nodesPerZone: scenario.nodesPerZone,
+    log: scenario.log,
+    settings: { logRetentionMs: scenario.log.retentionMs, ...options.settings },
+    onLog: (node, event, fields, atMs) => {
+      options.onLog?.(`${atMs.toFixed(0)} ${node} ${event} ${JSON.stringify(fields)}`)
+      if (event === 'configurationInForce') evidence.inForce.push({ node, incarnation: fleet.nodes.get(node)?.identity.incarnation ?? '', revision: Number(fields.revision), atMs })
+    }
+  })
+  for (const backend of document.backends) {
+    if (backend.type === 'modelEngine') fleet.addEngines(backend.name, scenario.engines, { chunkTokens: 16, checksFencing: backend.checksFencing })
+    else fleet.addServices(backend.name, scenario.services, { checksIdempotencyKeys: backend.checksIdempotencyKeys })
+  }
+  return fleet
+}
+
+async function putInForce (fleet: Fleet, document: ConfigurationDocument): Promise<boolean> {
+  const address = [...fleet.nodes.values()][0].identity.address
+  const applied = fleet.send(address, { type: 'apply', environment: 'production', baseRevision: 0, document, by: 'operator' }, { timeoutMs: APPLY_TIMEOUT_MS })
+  await fleet.runWhile(applied, fleet.events.nowMs() + APPLY_TIMEOUT_MS)
+  const result = await applied
+  await fleet.runUntil(fleet.events.nowMs() + WARM_UP_MS)
+  return result.type === 'reply' && result.reply.type === 'accepted'
+}
+
+function createDriver (fleet: Fleet, record: RunRecord, document: ConfigurationDocument): ProgramDriver {
+  const targets = Object.fromEntries(document.workKinds.map(kind => [kind.name, { targetMs: kind.targetMs, rank: kind.rank }]))
+  return new ProgramDriver({ world: fleet.callerWorld, record, targets, streamEvery: 2, stepTimeoutMs: STEP_TIMEOUT_MS, retriesOverload: true, openTimeoutMs: STEP_TIMEOUT_MS })
+}
+
+/** Lets programs arrive and faults strike; ends with the last program. */
+async function startWork (scenario: Scenario, fleet: Fleet, driver: ProgramDriver, document: ConfigurationDocument, evidence: FleetEvidence): Promise<void> {
+  const random = new SeededRandom(scenario.seed + 17)
+  const runs: Array<Promise<unknown>> = []
+  const context: FaultContext = {
+    fleet,
+    evidence,
+    document,
+    random,
+    run: async plan => { await driver.run(plan) },
+    createPlan: rank => createPlanOf(scenario, random, rank)
+  }
+  for (const fault of scenario.faults) {
+    runs.push(fleet.clientHost.sleep(fault.atMs).then(async () => await applyFault(fault, context)))
+  }
+  let arrivalMs = 0
+  for (let index = 0; index < scenario.workload.programs; index++) {
+    arrivalMs += random.nextExponential(scenario.workload.meanArrivalMs)
+    const plan = createPlanOf(scenario, random, random.next() < scenario.workload.urgentShare ? 'urgent' : 'other')
+    if (random.next() < scenario.workload.vanishingShare) plan.vanishesAtStep = random.nextInt(plan.steps.length)
+    runs.push(fleet.clientHost.sleep(arrivalMs).then(async () => await driver.run(plan)))
+  }
+  await Promise.all(runs)
+}
+
+function createPlanOf (scenario: Scenario, random: SeededRandom, rank: 'urgent' | 'other'): ProgramPlan {
+  const [urgent, other] = scenario.firm === 'harrow' ? [FITTING_SHAPE, FOLLOW_UP_SHAPE] : [PATTERN_SHAPE, COACHING_SHAPE]
+  const shape = rank === 'urgent' ? urgent : other
+  return createPlan({ ...shape, maxTurns: Math.min(shape.maxTurns, 25), toolShare: 0.8, nonRepeatableShare: 0.7 }, random)
+}
+
+function countsOf (scenario: Scenario, record: RunRecord, fleet: Fleet): ScenarioCounts {
+  const nonRepeatable = record.steps.filter(step => !step.isRepeatable)
+  return {
+    programs: record.programs.length,
+    finished: record.programs.filter(program => program.isFinished).length,
+    refused: record.programs.filter(program => program.refusal !== undefined).length,
+    steps: record.steps.length,
+    nonRepeatableSteps: nonRepeatable.length,
+    unknownSteps: nonRepeatable.filter(step => step.result?.type === 'unknown' || step.error?.type === 'unknown').length,
+    faults: scenario.faults.length,
+    workerCrashes: [...fleet.engines.values()].reduce((sum, engine) => sum + engine.counters.crashes, 0),
+    virtualMs: fleet.events.nowMs()
+  }
+}
+
+function checkExpectations (scenario: Scenario, counts: ScenarioCounts, record: RunRecord): Violation[] {
+  const { minFinishedShare, maxUnknown, maxWorkerCrashes } = scenario.expect
+  const staying = record.programs.filter(program => !program.hasVanished && !program.isHopeless)
+  const finished = staying.filter(program => program.isFinished).length
+  const violations: Violation[] = []
+  if (finished < minFinishedShare * staying.length) violations.push({ rule: 'expected share finishes', detail: `${finished} of ${staying.length} programs finished` })
+  if (maxUnknown !== undefined && counts.unknownSteps > maxUnknown) violations.push({ rule: 'expected unknown', detail: `${counts.unknownSteps} steps are unknown` })
+  if (maxWorkerCrashes !== undefined && counts.workerCrashes > maxWorkerCrashes) violations.push({ rule: 'expected crashes', detail: `${counts.workerCrashes} crashes of workers` })
+  return violations
+}
+
--- /dev/null
+++ b/packages/testing/src/common/scenario/search.ts
@@ -0,0 +1,105 @@
+/** A seeded random search for fault schedules that break a promise. */
+import fc from 'fast-check'
+import type { Violation } from '../checkers/violation.js'
+import { runScenario, type ScenarioCounts, type ScenarioOptions, type ScenarioResult } from './scenarioRunner.js'
+import { type Fault, type Scenario, scenarioSchema } from './scenario.js'
+
+const ZONES = ['regina', 'saskatoon', 'brandon']
+const NODES = ZONES.map(zone => `${zone}-1`)
+const FAULT_WINDOW_MS = 40_000
+const MAX_FAULTS = 6
+
+export interface SearchOptions extends ScenarioOptions {
+  runs: number
+  seed: number
+  /** Called after each run. */
+  onRun?: (result: ScenarioResult) => void
+}
+
+export interface SearchResult {
+  runs: number
+  seed: number
+  /** Sums over all runs. */
+  totals: ScenarioCounts
+  /** The smallest schedule found that breaks a promise. */
+  counterexample?: { scenario: Scenario, violations: Violation[] }
+}
+
+/** Draws schedules and runs them until one breaks a promise; that one is shrunk. */
+export async function searchSchedules (options: SearchOptions): Promise<SearchResult> {
+  const totals: ScenarioCounts = { programs: 0, finished: 0, refused: 0, steps: 0, nonRepeatableSteps: 0, unknownSteps: 0, faults: 0, workerCrashes: 0, virtualMs: 0 }
+  let runs = 0
+  let last: ScenarioResult | undefined
+  const property = fc.asyncProperty(scenarioArbitrary(), async scenario => {
+    const result = await runScenario(scenario, options)
+    runs++
+    addCounts(totals, result.counts)
+    options.onRun?.(result)
+    if (result.violations.length > 0) last = result
+    return result.violations.length === 0
+  })
+  const outcome = await fc.check(property, { seed: options.seed, numRuns: options.runs, endOnFailure: false })
+  const found = outcome.failed && last !== undefined ? { scenario: last.scenario, violations: last.violations } : undefined
+  return { runs, seed: options.seed, totals, counterexample: found }
+}
+
+/** Any small fleet with any schedule of faults. */
+export function scenarioArbitrary (): fc.Arbitrary<Scenario> {
+  return fc.record({
+    seed: fc.integer({ min: 1, max: 1_000_000 }),
+    firm: fc.constantFrom('harrow' as const, 'plecionka' as const),
+    hidesOffsets: fc.boolean(),
+    appendsPerSecond: fc.constantFrom(400, 40, 15),
+    vanishingShare: fc.constantFrom(0, 0.2),
+    faults: fc.array(faultArbitrary(), { minLength: 1, maxLength: MAX_FAULTS })
+  }).map(({ seed, firm, hidesOffsets, appendsPerSecond, vanishingShare, faults }) => scenarioSchema.parse({
+    name: 'search',
+    seed,
+    firm,
+    log: { hidesOffsets, appendsPerSecond },
+    workload: { programs: 8, meanArrivalMs: 2_000, vanishingShare },
+    faults: faults.map(fault => renameWorkers(fault, firm))
+  }))
+}
+
+function faultArbitrary (): fc.Arbitrary<Fault> {
+  const atMs = fc.integer({ min: 0, max: FAULT_WINDOW_MS })
+  const node = fc.constantFrom(...NODES)
+  const forMs = fc.integer({ min: 200, max: 20_000 })
+  const restartAfterMs = fc.integer({ min: 500, max: 10_000 })
+  const engine = fc.constantFrom('engine-1', 'engine-2', 'engine-3')
+  const tool = fc.constantFrom('tool-1', 'tool-2')
+  const count = fc.integer({ min: 1, max: 4 })
+  const between = fc.oneof(
+    fc.tuple(node, fc.constant('log')),
+    fc.tuple(fc.constantFrom(...ZONES), fc.constantFrom(...ZONES)).filter(([left, right]) => left !== right)
+  )
+  return fc.oneof(
+    fc.record({ type: fc.constant('killNode' as const), atMs, node, restartAfterMs }),
+    fc.record({ type: fc.constant('stopNode' as const), atMs, node, restartAfterMs }),
+    fc.record({ type: fc.constant('pauseNode' as const), atMs, node, forMs }),
+    fc.record({ type: fc.constant('cut' as const), atMs, between, forMs }),
+    fc.record({ type: fc.constant('loseZone' as const), atMs, zone: fc.constantFrom(...ZONES), forMs }),
+    fc.record({ type: fc.constant('logDown' as const), atMs, forMs }),
+    fc.record({ type: fc.constant('logSlow' as const), atMs, forMs, delayMs: fc.integer({ min: 50, max: 2_000 }) }),
+    fc.record({ type: fc.constant('appendFault' as const), atMs, fault: fc.constantFrom('loseAnswer' as const, 'loseRequest' as const, 'landLate' as const), count }),
+    fc.record({ type: fc.constant('crashWorker' as const), atMs, worker: fc.oneof(engine, tool), restartAfterMs }),
+    fc.record({ type: fc.constant('hangTool' as const), atMs, worker: tool, count }),
+    fc.record({ type: fc.constant('loseToolAnswers' as const), atMs, worker: tool, count }),
+    fc.record({ type: fc.constant('raceOperators' as const), atMs, operators: fc.integer({ min: 2, max: 3 }) }),
+    fc.record({ type: fc.constant('leaveWorker' as const), atMs, worker: fc.constant('engine-3') }),
+    fc.record({ type: fc.constant('poison' as const), atMs, resends: fc.integer({ min: 1, max: 2 }) }),
+    fc.record({ type: fc.constant('endlessProgram' as const), atMs })
+  )
+}
+
+/** Puts the firm's names in place of `engine-N` and `tool-N`. */
+function renameWorkers (fault: Fault, firm: Scenario['firm']): Fault {
+  if (!('worker' in fault)) return fault
+  const [engine, tool] = firm === 'harrow' ? ['tailor-models', 'shop-ledger'] : ['braid-models', 'workshop-app']
+  return { ...fault, worker: fault.worker.replace(/^engine/, engine).replace(/^tool/, tool) }
+}
+
+function addCounts (totals: ScenarioCounts, counts: ScenarioCounts): void {
+  for (const name of Object.keys(totals) as Array<keyof ScenarioCounts>) totals[name] += counts[name]
+}
--- a/packages/testing/src/common/workload/programDriver.ts
+++ b/packages/testing/src/common/workload/programDriver.ts
@@ -46,6 +46,7 @@
   /** Runs one program from its arrival to its end. */
   async run (plan: ProgramPlan): Promise<ProgramObservation> {
     const observation = this._observe(plan.kind, plan.customer, answerTokensOf(plan.steps))
+    observation.isHopeless = plan.isHopeless === true
     await this._runObserved(plan, observation, undefined)
     return observation
   }
@@ -63,16 +64,18 @@
     observation.programId = session.programId
     observation.root ??= session.programId
     observation.openedAtMs = host.nowMs()
-    observation.isFinished = await this._runSteps(plan, plan.steps, session, observation)
+    observation.isFinished = await this._runSteps(plan, session, observation)
     observation.endedAtMs = host.nowMs()
     observation.turns = [...session.turns]
     observation.historyDigest = session.historyDigest
-    observation.wasClosed = await session.close()
+    if (!observation.hasVanished) observation.wasClosed = await session.close()
   }
 
-  private async _runSteps (plan: ProgramPlan, steps: PlanStep[], session: ProgramSession, observation: ProgramObservation): Promise<boolean> {
+  private async _runSteps (plan: ProgramPlan, session: ProgramSession, observation: ProgramObservation): Promise<boolean> {
     let modelSteps = 0
-    for (const step of steps) {
+    for (const [index, step] of plan.steps.entries()) {
+      observation.hasVanished = index === plan.vanishesAtStep
+      if (observation.hasVanished) return false
       if (step.type === 'pause') {
         await this._options.world.host.sleep(step.durationMs)
       } else if (step.type === 'children') {
@@ -90,7 +93,7 @@
     const children = plans.map(async steps => {
       const observation = this._observe(plan.kind, plan.customer, answerTokensOf(steps))
       observation.root = parent.root
-      await this._runObserved({ ...plan, steps, poisonStep: undefined }, observation, parent.programId)
+      await this._runObserved({ ...plan, steps, poisonStep: undefined, vanishesAtStep: undefined }, observation, parent.programId)
       return observation.isFinished
     })
     return (await Promise.all(children)).every(Boolean)
@@ -152,6 +155,8 @@
       steps: [],
       turns: [],
       wasClosed: false,
+      hasVanished: false,
+      isHopeless: false,
       plannedTokens,
       targetMs: target.targetMs
     }
--- a/packages/testing/src/common/workload/programPlan.ts
+++ b/packages/testing/src/common/workload/programPlan.ts
@@ -16,6 +16,10 @@
   steps: PlanStep[]
   /** Text that makes engines crash, put into the given step. */
   poisonStep?: number
+  /** Index of the step before which the caller vanishes without closing the program. */
+  vanishesAtStep?: number
+  /** The program is meant to fail. */
+  isHopeless?: boolean
 }
 
 /** Shape of the programs of one kind. */
--- a/packages/testing/src/common/workload/runRecord.ts
+++ b/packages/testing/src/common/workload/runRecord.ts
@@ -39,6 +39,10 @@
   turns: Turn[]
   historyDigest?: string
   wasClosed: boolean
+  /** The caller left without closing the program. */
+  hasVanished: boolean
+  /** The program was meant to fail. */
+  isHopeless: boolean
   /** Tokens that the plan asked for. */
   plannedTokens: number
   targetMs: number
