--- a/packages/core/src/common/membership/membership.ts
+++ b/packages/core/src/common/membership/membership.ts
@@ -27,6 +27,8 @@
   /** Time since which the node counts as unreachable. */
   suspectedSinceMs?: number
   lastHeardMs: number
+  /** Time of the last probe that a peer's suspicion caused. */
+  checkedAtMs: number
 }
 
 /** A backend server that may get new work. */
@@ -101,7 +103,7 @@
   ) {
     super()
     const { node, zone, address, peerAddress, incarnation } = _identity
-    this._self = { node, zone, address, peerAddress, incarnation, isDraining: false, isListed: true, revision: 0, controlOffset: 0, failedProbes: 0, lastHeardMs: 0 }
+    this._self = { node, zone, address, peerAddress, incarnation, isDraining: false, isListed: true, revision: 0, controlOffset: 0, failedProbes: 0, lastHeardMs: 0, checkedAtMs: 0 }
   }
 
   start (): void {
@@ -220,7 +222,8 @@
       controlOffset: known?.controlOffset ?? 0,
       failedProbes: known?.failedProbes ?? 0,
       suspectedSinceMs: known?.suspectedSinceMs,
-      lastHeardMs: known?.lastHeardMs ?? this._clock.nowMs()
+      lastHeardMs: known?.lastHeardMs ?? this._clock.nowMs(),
+      checkedAtMs: known?.checkedAtMs ?? 0
     })
   }
 
@@ -253,7 +256,7 @@
   private _noteHeard (from: PeerSender): void {
     let peer = this._peers.get(from.node)
     if (peer === undefined) {
-      peer = { node: from.node, zone: from.zone, address: from.address, peerAddress: from.peerAddress, isDraining: false, isListed: true, revision: 0, controlOffset: 0, failedProbes: 0, lastHeardMs: 0 }
+      peer = { node: from.node, zone: from.zone, address: from.address, peerAddress: from.peerAddress, isDraining: false, isListed: true, revision: 0, controlOffset: 0, failedProbes: 0, lastHeardMs: 0, checkedAtMs: 0 }
       this._peers.set(from.node, peer)
     }
     const isOlderRun = peer.incarnation !== undefined && from.incarnation < peer.incarnation
@@ -284,10 +287,14 @@
     for (const suspect of digest.suspects) this._checkSuspect(suspect)
   }
 
-  /** A peer's suspicion is checked with an own probe, not believed. */
+  /** A peer's suspicion is checked with an own probe, not believed; once a period, whoever repeats it. */
   private _checkSuspect (node: string): void {
     const peer = this._peers.get(node)
-    if (peer !== undefined && peer.suspectedSinceMs === undefined && peer.failedProbes === 0) this._probe(peer)
+    if (peer === undefined || peer.suspectedSinceMs !== undefined || peer.failedProbes > 0) return
+    const nowMs = this._clock.nowMs()
+    if (nowMs - peer.checkedAtMs < this._settings.probePeriodMs) return
+    peer.checkedAtMs = nowMs
+    this._probe(peer)
   }
 
   private _probeSome (): void {
