Opening a sub-agent rebuilds a parent that the log has lost

Change: the caller library supplies its copy of the parent as it does for steps; rebuilding is one class.

--- a/packages/client/src/common/client.ts
+++ b/packages/client/src/common/client.ts
@@ -47,7 +47,8 @@
 
 export interface OpenOptions {
   kind: string
-  parent?: string
+  /** The program that starts this one as its sub-agent. */
+  parent?: ProgramSession
   targetMs?: number
   timeoutMs?: number
   /** Try again, after the time that a refusal names, until the timeout. */
@@ -83,12 +84,16 @@
   async open (options: OpenOptions): Promise<Either<ClientError, ProgramSession>> {
     const { host, customer } = this.options
     const deadlineMs = host.nowMs() + (options.timeoutMs ?? DEFAULT_OPEN_TIMEOUT_MS)
-    const request: OpenRequest = { type: 'open', customer, kind: options.kind, key: this.nextKey(), parent: options.parent, targetMs: options.targetMs }
+    const request: OpenRequest = { type: 'open', customer, kind: options.kind, key: this.nextKey(), parent: options.parent?.programId, targetMs: options.targetMs }
     let failure: ClientError = { type: 'unreachable', detail: 'no address answered', wasSent: false }
     for (let round = 0; round === 0 || host.nowMs() < deadlineMs; round++) {
       const address = await this.addresses.resolve()
       const attempt = await this.attempt(address, request, { timeoutMs: DEFAULT_OPEN_TIMEOUT_MS })
       const reply = attempt.reply
+      if (reply?.type === 'historyNeeded' && options.parent !== undefined && request.parentCopy === undefined) {
+        request.parentCopy = options.parent.copy()
+        continue
+      }
       if (reply?.type === 'opened') return Right(new ProgramSession(this, options.kind, reply.programId, reply.home.address, reply.historyDigest))
       failure = toError(attempt)
       const mayPass = reply === undefined || (reply.type === 'notRun' && PASSING_REASONS.has(reply.reason)) || reply.type === 'unknown' ||
@@ -154,6 +159,11 @@
     return this._historyDigest
   }
 
+  /** What the caller knows of the program, for a node that has lost it. */
+  copy (): { kind: string, history: Turn[], historyDigest: string } {
+    return { kind: this.kind, history: [...this.turns], historyDigest: this._historyDigest }
+  }
+
   get nextStep (): number {
     return this.turns.length + 1
   }
--- a/packages/client/src/node/httpTransport.ts
+++ b/packages/client/src/node/httpTransport.ts
@@ -1,7 +1,7 @@
 /** Reaches nodes over the HTTP caller API. */
 import { Agent, request as sendRequest, type Dispatcher } from 'undici'
 import type { CallerReply, CallerRequest } from '@trefoilshunt/core'
-import { EventStreamReader, fromHttpBody, fromStepRequest } from '@trefoilshunt/protocol'
+import { EventStreamReader, fromHttpBody, fromOpenRequest, fromStepRequest } from '@trefoilshunt/protocol'
 import type { ICallerTransport, IClientHost, SendOptions, TransportResult } from '../common/transport.js'
 
 const CONNECT_TIMEOUT_MS = 1_000
@@ -83,7 +83,7 @@
 /** The HTTP request that carries a core request. */
 function toHttpCall (request: CallerRequest): HttpCall {
   switch (request.type) {
-    case 'open': return { method: 'POST', path: '/v1/programs', body: { kind: request.kind, key: request.key, parent: request.parent, targetMs: request.targetMs } }
+    case 'open': return { method: 'POST', path: '/v1/programs', body: fromOpenRequest(request) }
     case 'step': return { method: 'POST', path: `/v1/programs/${encodeURIComponent(request.programId)}/steps`, body: fromStepRequest(request) }
     case 'cancel': return { method: 'POST', path: `/v1/programs/${encodeURIComponent(request.programId)}/steps/${request.step}/cancel` }
     case 'close': return { method: 'DELETE', path: `/v1/programs/${encodeURIComponent(request.programId)}` }
--- a/packages/core/src/common/configuration/configuration.ts
+++ b/packages/core/src/common/configuration/configuration.ts
@@ -20,7 +20,10 @@
 
 const READ_PAGE_RECORDS = 500
 const PEER_COPY_TIMEOUT_MS = 1_000
-const SNAPSHOT_CHECK_MS = 60_000
+const MAX_SNAPSHOT_CHECK_MS = 60_000
+/** The age of the last snapshot is looked at so often in each retention time. */
+const SNAPSHOT_CHECKS_PER_RETENTION = 20
+const SNAPSHOT_TIMEOUT_MS = 30_000
 const PUBLISH_RETRY_MS = 300
 /** A snapshot is due after this share of the log's retention. */
 const SNAPSHOT_AGE_SHARE = 0.25
@@ -109,7 +112,8 @@
       if (digest.controlOffset > this._state.nextOffset) this._read()
     }))
     this._register(this._timers.every(this._settings.controlPollMs, () => this._read()))
-    this._register(this._timers.every(SNAPSHOT_CHECK_MS, () => this._snapshotIfDue()))
+    const checkMs = Math.min(MAX_SNAPSHOT_CHECK_MS, this._settings.logRetentionMs / SNAPSHOT_CHECKS_PER_RETENTION)
+    this._register(this._timers.every(checkMs, () => this._snapshotIfDue()))
     this._read()
   }
 
@@ -306,7 +310,7 @@
     const publisher = resolveOwner('control-snapshot', this._membership.liveNodes(), peer => peer.node)
     if (publisher?.node !== this._identity.node) return
     const state = JSON.parse(JSON.stringify({ ...this._state, recentIds: [] })) as ControlState
-    this.publish({ type: 'controlSnapshot', state, by: this._identity.node, atMs: nowMs }, SNAPSHOT_CHECK_MS, () => {})
+    this.publish({ type: 'controlSnapshot', state, by: this._identity.node, atMs: nowMs }, SNAPSHOT_TIMEOUT_MS, () => {})
   }
 }
 
--- a/packages/core/src/common/kernel/callerMessages.ts
+++ b/packages/core/src/common/kernel/callerMessages.ts
@@ -109,6 +109,8 @@
   /** Resending with the same key opens no second program at the same node. */
   key: string
   parent?: string
+  /** The caller's copy of the parent program, sent after a `historyNeeded`. */
+  parentCopy?: { kind: string, history: Turn[], historyDigest: string }
   /** Latency that the caller is promised, in place of the work kind's target. */
   targetMs?: number
   /** Worker that the first node has chosen; its lead becomes the program's home. */
--- a/packages/core/src/common/programs/programOpening.ts
+++ b/packages/core/src/common/programs/programOpening.ts
@@ -17,6 +17,7 @@
 import { appendWithin } from './durability.js'
 import { createLiveProgram, type LiveProgram } from './liveProgram.js'
 import { historyDigestOf, type ProgramState, toProgramId } from './programState.js'
+import { ProgramRebuilder } from './programRebuilder.js'
 import { IProgramRouting } from './programRouting.js'
 import { IProgramTable } from './programTable.js'
 
@@ -53,7 +54,8 @@
     @inject(ILeads) private readonly _leads: ILeads,
     @inject(IPlacement) private readonly _placement: IPlacement,
     @inject(IProgramRouting) private readonly _routing: IProgramRouting,
-    @inject(IProgramTable) private readonly _programs: IProgramTable
+    @inject(IProgramTable) private readonly _programs: IProgramTable,
+    @inject(ProgramRebuilder) private readonly _rebuilder: ProgramRebuilder
   ) {}
 
   start (): void {
@@ -87,7 +89,7 @@
   }
 
   private _openChild (exchange: OpenExchange, kind: WorkKind, parentId: string): void {
-    this._routing.route(exchange, parentId, parent => {
+    const onParent = (parent: LiveProgram) => {
       const root = this._programs.rootOf(parent)
       const isForeign = parent.state.customer !== exchange.request.customer
       if (isForeign) this._refuse(exchange, Reason.NotFound, 'no such parent program')
@@ -95,7 +97,19 @@
       else if (parent.isMoving) this._refuse(exchange, Reason.HomeMoved, 'the parent program is moving', NOT_READY_RETRY_MS)
       else if (parent.state.depth + 1 > root.state.budget.depth) this._refuse(exchange, Reason.BudgetExceeded, `the budget allows ${root.state.budget.depth} levels of sub-agents`)
       else this._create({ exchange, kind, parent })
-    }, () => this._refuse(exchange, Reason.NotFound, 'no such parent program'))
+    }
+    this._routing.route(exchange, parentId, onParent, loss => {
+      const parent = loss === 'noTrace' ? this._rebuildParent(exchange, parentId) : undefined
+      if (parent !== undefined) onParent(parent)
+      else if (loss === 'noTrace' && exchange.request.parentCopy === undefined) this._callers.reply(exchange.requestId, { type: 'historyNeeded', programId: parentId, knownStep: 0 })
+      else this._refuse(exchange, Reason.NotFound, 'no such parent program')
+    })
+  }
+
+  private _rebuildParent ({ request }: OpenExchange, parentId: string): LiveProgram | undefined {
+    const copy = request.parentCopy
+    if (copy === undefined) return undefined
+    return this._rebuilder.rebuild({ programId: parentId, customer: request.customer, ...copy, steps: copy.history.length, doubtfulTokens: 0 })
   }
 
   private _place (exchange: OpenExchange, kind: WorkKind): void {
--- a/packages/core/src/common/programs/programRequests.ts
+++ b/packages/core/src/common/programs/programRequests.ts
@@ -3,17 +3,14 @@
 import { ICallers, type CallerExchange } from '../kernel/callerPort.js'
 import { type ProgramView, Reason, type StepRequest } from '../kernel/callerMessages.js'
 import { IClock } from '../kernel/clock.js'
-import { ILogger } from '../kernel/effectQueue.js'
 import { NodeIdentity } from '../kernel/node.js'
 import { IConfiguration } from '../configuration/configuration.js'
-import { IJournal } from '../journal/journal.js'
-import { promptTokensOf } from './budget.js'
-import { createLiveProgram, type LiveProgram } from './liveProgram.js'
+import type { LiveProgram } from './liveProgram.js'
 import { IProgramClosing } from './programClosing.js'
-import { historyDigestOf, nextStepOf, type ProgramState, type RecordedTurn } from './programState.js'
+import { ProgramRebuilder, reservedTokensOf } from './programRebuilder.js'
+import { historyDigestOf, nextStepOf } from './programState.js'
 import { IProgramRouting, type ProgramLoss, toRefusal } from './programRouting.js'
 import { IProgramTable } from './programTable.js'
-import { verifyHistory } from './stepDecision.js'
 import { IStepRunner } from './stepRunner.js'
 
 const NOT_READY_RETRY_MS = 1_000
@@ -25,12 +22,11 @@
     @inject(IClock) private readonly _clock: IClock,
     @inject(ICallers) private readonly _callers: ICallers,
     @inject(IConfiguration) private readonly _configuration: IConfiguration,
-    @inject(IJournal) private readonly _journal: IJournal,
     @inject(IProgramTable) private readonly _programs: IProgramTable,
     @inject(IProgramRouting) private readonly _routing: IProgramRouting,
     @inject(IProgramClosing) private readonly _closing: IProgramClosing,
     @inject(IStepRunner) private readonly _steps: IStepRunner,
-    @inject(ILogger) private readonly _logger: ILogger
+    @inject(ProgramRebuilder) private readonly _rebuilder: ProgramRebuilder
   ) {}
 
   start (): void {
@@ -100,46 +96,22 @@
       this._callers.reply(exchange.requestId, { type: 'unknown', reason: Reason.AnswerLost, detail: 'the home of the program is gone with what it knew of the step', programId: request.programId, step: request.step })
       return
     }
-    const program = this._rebuild(request)
+    const program = this._rebuilder.rebuild({
+      programId: request.programId,
+      customer: request.customer,
+      kind: request.kind,
+      history: request.history ?? [],
+      steps: request.step - 1,
+      historyDigest: request.historyDigest,
+      doubtfulTokens: request.isResend ? reservedTokensOf(request.call) : 0
+    })
     if (program === undefined) {
       this._callers.reply(exchange.requestId, { type: 'historyNeeded', programId: request.programId, knownStep: 0 })
       return
     }
-    this._logger.warn('programRebuilt', { program: request.programId, turns: program.state.turns.length })
-    this._programs.add(program)
-    program.journal.append({ type: 'programSnapshot', program: { ...program.state, turns: [...program.state.turns] } }, () => {})
     this._steps.handle(exchange, program)
   }
 
-  private _rebuild (request: StepRequest): LiveProgram | undefined {
-    const kind = this._configuration.findKind(request.kind ?? '')
-    const history = request.history ?? []
-    if (kind === undefined || history.length !== request.step - 1) return undefined
-    const nowMs = this._clock.nowMs()
-    const state: ProgramState = {
-      programId: request.programId,
-      customer: request.customer,
-      kind: kind.name,
-      rank: kind.rank,
-      openKey: '',
-      root: request.programId,
-      depth: 0,
-      budget: kind.budget,
-      openedAtMs: nowMs,
-      dueAtMs: nowMs + kind.targetMs,
-      turns: [],
-      spent: { tokens: 0, steps: 0, toolCalls: 0 },
-      reservedTokens: 0
-    }
-    if (request.historyDigest !== historyDigestOf(state) && history.length === 0) return undefined
-    const turns = verifyHistory(state, history, request.historyDigest)
-    if (turns === undefined) return undefined
-    state.turns = turns
-    state.spent = spendingOf(turns)
-    if (request.isResend && request.call.type === 'model') state.spent.tokens += promptTokensOf(request.call) + request.call.maxTokens
-    return { ...createLiveProgram(state, this._journal.current, nowMs), isInherited: true }
-  }
-
   private _view (program: LiveProgram, withHistory: boolean): ProgramView {
     const { state } = program
     const root = this._programs.rootOf(program)
@@ -160,12 +132,3 @@
     }
   }
 }
-
-function spendingOf (turns: RecordedTurn[]): ProgramState['spent'] {
-  const spent = { tokens: 0, steps: turns.length, toolCalls: 0 }
-  for (const { call, result } of turns) {
-    if (call.type === 'service') spent.toolCalls++
-    else spent.tokens += promptTokensOf(call) + (result.type === 'model' ? result.completionTokens : 0)
-  }
-  return spent
-}
--- a/packages/node/src/node/callerServer.ts
+++ b/packages/node/src/node/callerServer.ts
@@ -3,7 +3,7 @@
 import { App } from '@tinyhttp/app'
 import type { z } from 'zod'
 import type { CallerReply, CallerRequest } from '@trefoilshunt/core'
-import { applyBodySchema, type HttpReply, openBodySchema, promoteBodySchema, stepBodySchema, toChunkEvent, toHttpReply, toOutcomeEvents, toStepRequest } from '@trefoilshunt/protocol'
+import { applyBodySchema, type HttpReply, openBodySchema, promoteBodySchema, stepBodySchema, toChunkEvent, toHttpReply, toOpenRequest, toOutcomeEvents, toStepRequest } from '@trefoilshunt/protocol'
 import type { Settings } from '../common/settings.js'
 import { resolveOwner } from './credentials.js'
 import { readBody } from './readBody.js'
@@ -72,7 +72,7 @@
   async open (context: Context): Promise<void> {
     const body = await this._readJson(context, openBodySchema)
     if (body === undefined) return
-    this._submit(context, 'open', { type: 'open', customer: context.owner, ...body })
+    this._submit(context, 'open', toOpenRequest(body, context.owner))
   }
 
   async step (context: Context): Promise<void> {
--- a/packages/protocol/src/common/callerApi.ts
+++ b/packages/protocol/src/common/callerApi.ts
@@ -1,6 +1,6 @@
 /** The HTTP bodies of the caller API and how they map to the core's requests and replies. */
 import { z } from 'zod'
-import { type CallerReply, type ChatMessage, type Done, type ModelCall, type NotRun, Reason, type StepCall, type StepRequest, type StepResult, type Turn, type Unknown } from '@trefoilshunt/core'
+import { type CallerReply, type ChatMessage, type Done, type ModelCall, type NotRun, type OpenRequest, Reason, type StepCall, type StepRequest, type StepResult, type Turn, type Unknown } from '@trefoilshunt/core'
 
 const MAX_NAME = 128
 const MAX_KEY = 256
@@ -59,6 +59,7 @@
   kind: nameSchema,
   key: keySchema,
   parent: z.string().max(MAX_NAME).optional(),
+  parentCopy: z.strictObject({ kind: nameSchema, history: z.array(turnSchema).max(MAX_TURNS), historyDigest: digestSchema }).optional(),
   targetMs: z.int().positive().max(MAX_TIMEOUT_MS * 24).optional()
 })
 
@@ -90,6 +91,19 @@
 export type StepBody = z.input<typeof stepBodySchema>
 type CheckedStepBody = z.output<typeof stepBodySchema>
 
+/** Turns a checked body into the core's request. */
+export function toOpenRequest (body: OpenBody, customer: string): OpenRequest {
+  const { kind, key, parent, targetMs, parentCopy } = body
+  const copy = parentCopy === undefined ? undefined : { ...parentCopy, history: parentCopy.history.map(toTurn) }
+  return { type: 'open', customer, kind, key, parent, targetMs, parentCopy: copy }
+}
+
+/** Turns the core's request into the body that a client sends. */
+export function fromOpenRequest ({ kind, key, parent, targetMs, parentCopy }: OpenRequest): unknown {
+  const copy = parentCopy === undefined ? undefined : { ...parentCopy, history: parentCopy.history.map(toTurnBody) }
+  return { kind, key, parent, targetMs, parentCopy: copy }
+}
+
 /** Turns a checked body into the core's request. */
 export function toStepRequest (body: CheckedStepBody, customer: string, programId: string): StepRequest {
   return {
@@ -104,7 +118,7 @@
     isStreamed: body.chat?.stream === true,
     timeoutMs: body.timeoutMs,
     kind: body.kind,
-    history: body.history?.map(turn => ({ step: turn.step, key: turn.key, call: toCall(turn), result: toResult(turn.answer) }))
+    history: body.history?.map(toTurn)
   }
 }
 
@@ -118,7 +132,7 @@
     resend: request.isResend,
     timeoutMs: Math.max(1, Math.min(MAX_TIMEOUT_MS, Math.ceil(request.timeoutMs))),
     kind: request.kind,
-    history: request.history?.map(turn => ({ step: turn.step, key: turn.key, ...fromCall(turn.call, false), answer: fromResult(turn.result) }))
+    history: request.history?.map(toTurnBody)
   }
 }
 
@@ -245,7 +259,11 @@
   }
 }
 
-function toTurnBody (turn: Turn): unknown {
+function toTurn (turn: z.output<typeof turnSchema>): Turn {
+  return { step: turn.step, key: turn.key, call: toCall(turn), result: toResult(turn.answer) }
+}
+
+function toTurnBody (turn: Turn): z.input<typeof turnSchema> {
   return { step: turn.step, key: turn.key, ...fromCall(turn.call, false), answer: fromResult(turn.result) }
 }
 
--- a/packages/testing/src/common/scenario/scenarioRunner.ts
+++ b/packages/testing/src/common/scenario/scenarioRunner.ts
@@ -44,6 +44,8 @@
 export interface ScenarioOptions {
   /** Overrides of the core's settings, for tests that break a part on purpose. */
   settings?: Partial<CoreSettings>
+  /** Document in place of the firm's own. */
+  document?: ConfigurationDocument
   /** Called with the fleet before it starts. */
   onWillStart?: (fleet: Fleet) => void
   onLog?: (line: string) => void
@@ -51,7 +53,7 @@
 
 /** Runs one scenario to its end. The same scenario gives the same result every time. */
 export async function runScenario (scenario: Scenario, options: ScenarioOptions = {}): Promise<ScenarioResult> {
-  const document = documentOf(scenario)
+  const document = options.document ?? documentOf(scenario)
   const evidence: FleetEvidence = { inForce: [], accepted: [], leaving: [] }
   const fleet = createFleet(scenario, document, evidence, options)
   options.onWillStart?.(fleet)
--- a/packages/testing/src/common/scenario/search.ts
+++ b/packages/testing/src/common/scenario/search.ts
@@ -50,13 +50,14 @@
     firm: fc.constantFrom('harrow' as const, 'plecionka' as const),
     hidesOffsets: fc.boolean(),
     appendsPerSecond: fc.constantFrom(400, 40, 15),
+    retentionMs: fc.constantFrom(86_400_000, 86_400_000, 200_000),
     vanishingShare: fc.constantFrom(0, 0.2),
     faults: fc.array(faultArbitrary(), { minLength: 1, maxLength: MAX_FAULTS })
-  }).map(({ seed, firm, hidesOffsets, appendsPerSecond, vanishingShare, faults }) => scenarioSchema.parse({
+  }).map(({ seed, firm, hidesOffsets, appendsPerSecond, retentionMs, vanishingShare, faults }) => scenarioSchema.parse({
     name: 'search',
     seed,
     firm,
-    log: { hidesOffsets, appendsPerSecond },
+    log: { hidesOffsets, appendsPerSecond, retentionMs },
     workload: { programs: 8, meanArrivalMs: 2_000, vanishingShare },
     faults: faults.map(fault => renameWorkers(fault, firm))
   }))
--- a/packages/testing/src/common/workload/programDriver.ts
+++ b/packages/testing/src/common/workload/programDriver.ts
@@ -51,7 +51,7 @@
     return observation
   }
 
-  private async _runObserved (plan: ProgramPlan, observation: ProgramObservation, parent: string | undefined): Promise<void> {
+  private async _runObserved (plan: ProgramPlan, observation: ProgramObservation, parent: ProgramSession | undefined): Promise<void> {
     const { host } = this._options.world
     const client = this._clientFor(plan.customer, observation.index)
     const opened = await client.open({ kind: plan.kind, parent, retriesOverload: this._options.retriesOverload, timeoutMs: this._options.openTimeoutMs })
@@ -79,7 +79,7 @@
       if (step.type === 'pause') {
         await this._options.world.host.sleep(step.durationMs)
       } else if (step.type === 'children') {
-        if (!await this._runChildren(plan, step.plans, observation)) return false
+        if (!await this._runChildren(plan, step.plans, session, observation)) return false
       } else {
         const isPoison = step.type === 'model' && modelSteps === plan.poisonStep
         if (step.type === 'model') modelSteps++
@@ -89,11 +89,11 @@
     return true
   }
 
-  private async _runChildren (plan: ProgramPlan, plans: PlanStep[][], parent: ProgramObservation): Promise<boolean> {
+  private async _runChildren (plan: ProgramPlan, plans: PlanStep[][], session: ProgramSession, parent: ProgramObservation): Promise<boolean> {
     const children = plans.map(async steps => {
       const observation = this._observe(plan.kind, plan.customer, answerTokensOf(steps))
       observation.root = parent.root
-      await this._runObserved({ ...plan, steps, poisonStep: undefined, vanishesAtStep: undefined }, observation, parent.programId)
+      await this._runObserved({ ...plan, steps, poisonStep: undefined, vanishesAtStep: undefined }, observation, session)
       return observation.isFinished
     })
     return (await Promise.all(children)).every(Boolean)
