Checkers are checked; random seeds are spread; frozen nodes are noticed

Cause: tests that break a part on purpose showed that neighbouring seeds drew nearly the same first values, so that programs arrived after all faults and three broken parts went unseen. Change: seeds are mixed and the first values dropped; service calls of the search last up to 3 s; connections can be dropped. The stronger search found three faults, now mended: a streamed step that was replayed sent no text, a planned stop cut off requests that came in during its last record, requests forwarded to a frozen node hung until their timeout. The caller library now tests a silent node and gives it up.

--- a/packages/client/src/common/client.ts
+++ b/packages/client/src/common/client.ts
@@ -2,6 +2,7 @@
 import { type Either, Left, Right } from 'purify-ts'
 import { type CallerReply, type Done, type NotRun, type OpenRequest, Reason, type StepCall, type StepRequest, type StepResult, type Turn, type Unknown } from '@trefoilshunt/core'
 import { AddressBook } from './addressBook.js'
+import { sendWatched } from './livenessCheck.js'
 import type { ICallerTransport, IClientHost } from './transport.js'
 
 const BACKOFF_BASE_MS = 150
@@ -109,7 +110,7 @@
   async attempt (address: string, request: OpenRequest | StepRequest, options: { timeoutMs: number, onChunk?: (text: string, tokens: number) => void }): Promise<AttemptRecord> {
     const { host, transport, onAttempt } = this.options
     const sentAtMs = host.nowMs()
-    const result = await transport.send(address, request, options)
+    const result = await sendWatched(transport, host, address, request, options)
     const attempt: AttemptRecord = { address, request, sentAtMs, endedAtMs: host.nowMs() }
     if (result.type === 'reply') attempt.reply = result.reply
     else attempt.failure = { wasSent: result.wasSent, detail: result.detail }
--- a/packages/client/src/common/transport.ts
+++ b/packages/client/src/common/transport.ts
@@ -9,6 +9,8 @@
 export interface SendOptions {
   timeoutMs: number
   onChunk?: (text: string, tokens: number) => void
+  /** Gets a function that gives the request up; it then counts as sent and failed. */
+  onAbort?: (abort: () => void) => void
 }
 
 /** Sends one request to one address. It never rejects. */
--- a/packages/client/src/node/httpTransport.ts
+++ b/packages/client/src/node/httpTransport.ts
@@ -32,13 +32,15 @@
 
   async send (address: string, request: CallerRequest, options: SendOptions): Promise<TransportResult> {
     const call = toHttpCall(request)
+    const controller = new AbortController()
+    options.onAbort?.(() => controller.abort())
     try {
       const response = await sendRequest(`http://${address}${call.path}`, {
         method: call.method,
         headers: { authorization: `Bearer ${this._options.key}`, 'content-type': 'application/json' },
         body: call.body === undefined ? undefined : JSON.stringify(call.body),
         dispatcher: this._agent,
-        signal: AbortSignal.timeout(Math.max(1, Math.ceil(options.timeoutMs)))
+        signal: AbortSignal.any([controller.signal, AbortSignal.timeout(Math.max(1, Math.ceil(options.timeoutMs)))])
       })
       const isStream = String(response.headers['content-type'] ?? '').startsWith('text/event-stream')
       const reply = isStream ? await readStream(response, options) : fromHttpBody(await response.body.json())
--- a/packages/core/src/common/drain/drain.ts
+++ b/packages/core/src/common/drain/drain.ts
@@ -22,6 +22,7 @@
 const OFFER_TIMEOUT_MS = 5_000
 const DONE_TIMEOUT_MS = 1_000
 const TREES_PER_ROUND = 100
+const QUIET_CHECK_MS = 50
 const END_RECORD_TIMEOUT_MS = 5_000
 /** Time for which a stopping node goes on answering, so that peers and callers learn that it leaves. */
 const MIN_DRAIN_MS = 2_500
@@ -161,8 +162,17 @@
     const { node, incarnation, address } = this._identity
     const record = { type: 'nodeEnded', node: { node, incarnation, address }, atMs: this._clock.nowMs() } as const
     this._configuration.publish(record, END_RECORD_TIMEOUT_MS, () => {
-      this._logger.info('drainFinished')
-      this._effects.emit({ type: 'exit' })
+      this._exitWhenQuiet()
     })
   }
+
+  /** Requests that came in meanwhile get their answer from the new homes before the process ends. */
+  private _exitWhenQuiet (): void {
+    if (this._callers.openCount > 0) {
+      this._timers.after(QUIET_CHECK_MS, () => this._exitWhenQuiet())
+      return
+    }
+    this._logger.info('drainFinished')
+    this._effects.emit({ type: 'exit' })
+  }
 }
--- a/packages/core/src/common/journal/journal.ts
+++ b/packages/core/src/common/journal/journal.ts
@@ -55,7 +55,8 @@
   onFenced: (epoch: JournalEpoch) => void
 }
 
-class JournalEpoch extends Disposable implements IJournalEpoch {
+/** One epoch of the own journal; only `Journal` creates it. */
+export class JournalEpoch extends Disposable implements IJournalEpoch {
   private readonly _options: EpochOptions
   private _lastRecord = 0
   private _fence: { by: NodeRef | undefined } | undefined
--- a/packages/core/src/common/kernel/callerPort.ts
+++ b/packages/core/src/common/kernel/callerPort.ts
@@ -18,6 +18,11 @@
 /** What becomes of a forwarded request that did not come back with a reply. */
 export interface ForwardFailure { wasSent: boolean }
 
+interface OpenForward {
+  node: string
+  onFailure: (failure: ForwardFailure) => void
+}
+
 /** Gives plug-ins the requests they handle and carries their replies. */
 export interface ICallers {
   /** Sets the handler of one type of request. */
@@ -26,6 +31,8 @@
   reply (requestId: string, reply: CallerReply): void
   /** Hands the request to another node, which answers in this node's place. */
   forward (exchange: CallerExchange, to: NodeRef, onFailure: (failure: ForwardFailure) => void): void
+  /** Gives up every forward to a node; their failure listeners are told that the request was sent. */
+  abandonForwards (node: string): void
   /** Handles a request again, after its program has moved. */
   dispatchAgain (exchange: CallerExchange): void
   /** Requests that have no final reply yet. */
@@ -39,7 +46,7 @@
 export class CallerPort implements ICallers {
   private readonly _handlers = new Map<string, Handler>()
   private readonly _open = new Map<string, CallerExchange>()
-  private readonly _forwards = new Map<string, (failure: ForwardFailure) => void>()
+  private readonly _forwards = new Map<string, OpenForward>()
   private readonly _goneListeners = new Map<string, () => void>()
 
   constructor (@inject(IEffects) private readonly _effects: IEffects) {}
@@ -60,11 +67,19 @@
 
   forward (exchange: CallerExchange, to: NodeRef, onFailure: (failure: ForwardFailure) => void): void {
     if (!this._open.has(exchange.requestId)) return
-    this._forwards.set(exchange.requestId, onFailure)
+    this._forwards.set(exchange.requestId, { node: to.node, onFailure })
     const { requestId, request, hops } = exchange
     this._effects.emit({ type: 'forward', requestId, to, request, hops: hops + 1 })
   }
 
+  abandonForwards (node: string): void {
+    for (const [requestId, forward] of [...this._forwards]) {
+      if (forward.node !== node) continue
+      this._effects.emit({ type: 'cancelForward', requestId })
+      this.handleForwardFailed(requestId, { wasSent: true })
+    }
+  }
+
   dispatchAgain (exchange: CallerExchange): void {
     if (this._open.has(exchange.requestId)) this._handlers.get(exchange.request.type)?.(exchange)
   }
@@ -93,9 +108,9 @@
   }
 
   handleForwardFailed (requestId: string, failure: ForwardFailure): void {
-    const onFailure = this._forwards.get(requestId)
+    const forward = this._forwards.get(requestId)
     this._forwards.delete(requestId)
-    if (this._open.has(requestId)) onFailure?.(failure)
+    if (this._open.has(requestId)) forward?.onFailure(failure)
   }
 
   private _forget (requestId: string): void {
--- a/packages/core/src/common/kernel/effects.ts
+++ b/packages/core/src/common/kernel/effects.ts
@@ -53,5 +53,7 @@
   | { type: 'cancelBackend', callId: number }
   | { type: 'reply', requestId: string, reply: CallerReply }
   | { type: 'forward', requestId: string, to: NodeRef, request: CallerRequest, hops: number }
+  /** Stops waiting for the node that a request was forwarded to. */
+  | { type: 'cancelForward', requestId: string }
   | { type: 'log', level: LogLevel, event: string, fields: LogFields }
   | { type: 'exit' }
--- a/packages/core/src/common/kernel/random.ts
+++ b/packages/core/src/common/kernel/random.ts
@@ -1,7 +1,10 @@
 /** Seeded pseudo-random numbers, so that a run can be repeated from its seed. */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { hash32 } from '../base/rendezvous.js'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
 
+/** Values dropped at the start: the first ones of similar seeds are similar. */
+const WARM_UP_VALUES = 16
 const UINT32_RANGE = 0x1_0000_0000
 
 /** A source of random decisions; never used for secrets. */
@@ -28,7 +31,8 @@
   private readonly _generator: RandomGenerator
 
   constructor (seed: number) {
-    this._generator = xoroshiro128plus(seed)
+    this._generator = xoroshiro128plus(hash32(`seed ${seed}`))
+    for (let index = 0; index < WARM_UP_VALUES; index++) this._generator.next()
   }
 
   next (): number {
--- a/packages/core/src/common/membership/membership.ts
+++ b/packages/core/src/common/membership/membership.ts
@@ -46,6 +46,8 @@
 export interface IMembership {
   /** Fires after the set of usable nodes or workers may have changed. */
   readonly onDidChange: Event<void>
+  /** Fires with the name of a node that has become unreachable. */
+  readonly onDidSuspect: Event<string>
   /** Fires when a peer reports a control offset beyond the given one. */
   readonly onDidHearDigest: Event<NodeDigest>
   /** Nodes that may get new work, this one included unless it drains. */
@@ -79,6 +81,7 @@
 export class Membership extends Disposable implements IMembership {
   private readonly _didChange = new Emitter<void>()
   private readonly _didHearDigest = new Emitter<NodeDigest>()
+  private readonly _didSuspect = new Emitter<string>()
   private readonly _didLearnLeaving = new Emitter<void>()
   private readonly _peers = new Map<string, PeerInfo>()
   private readonly _workers = new Map<string, WorkerInfo>()
@@ -90,6 +93,7 @@
 
   readonly onDidChange = this._didChange.event
   readonly onDidHearDigest = this._didHearDigest.event
+  readonly onDidSuspect = this._didSuspect.event
   readonly onDidLearnLeaving = this._didLearnLeaving.event
 
   constructor (
@@ -324,6 +328,7 @@
     peer.suspectedSinceMs = this._clock.nowMs()
     this._logger.warn('nodeSuspected', { node })
     this._changed()
+    this._didSuspect.fire(node)
   }
 
   private _digest (): NodeDigest {
--- a/packages/core/src/common/programs/programRouting.ts
+++ b/packages/core/src/common/programs/programRouting.ts
@@ -41,7 +41,9 @@
     @inject(IMembership) private readonly _membership: IMembership,
     @inject(IProgramTable) private readonly _programs: IProgramTable,
     @inject(ITakeover) private readonly _takeover: ITakeover
-  ) {}
+  ) {
+    _membership.onDidSuspect(node => _callers.abandonForwards(node))
+  }
 
   route (exchange: CallerExchange, programId: string, onHere: (program: LiveProgram) => void, onLost: (loss: ProgramLoss) => void): void {
     const program = this._programs.get(programId)
--- a/packages/core/src/common/programs/stepRunner.ts
+++ b/packages/core/src/common/programs/stepRunner.ts
@@ -78,7 +78,7 @@
     const decision = decideStep(program, request, callDigest, this._settings.maxStepsWaiting)
     switch (decision.type) {
       case 'start': return this._start(exchange, program, callDigest)
-      case 'replay': return this._callers.reply(exchange.requestId, this._toAnswer(program, decision.turn, true))
+      case 'replay': return this._replay(exchange, program, decision.turn)
       case 'join': return this._join(exchange, program)
       case 'wait': return this._wait(exchange, program)
       case 'resolveClaim': return this._resolveClaim(exchange, program, decision.claim)
@@ -96,6 +96,15 @@
     return true
   }
 
+  /** A caller that asked for a stream gets the whole text again, whatever it had received before. */
+  private _replay ({ requestId, request }: StepExchange, program: LiveProgram, turn: RecordedTurn): void {
+    const { result } = turn
+    if (request.isStreamed && result.type === 'model') {
+      this._callers.reply(requestId, { type: 'chunk', text: result.text, tokens: result.completionTokens })
+    }
+    this._callers.reply(requestId, this._toAnswer(program, turn, true))
+  }
+
   // Starting and waiting
 
   private _start (exchange: StepExchange, program: LiveProgram, callDigest: string): void {
--- a/packages/node/src/node/daemon.ts
+++ b/packages/node/src/node/daemon.ts
@@ -176,6 +176,10 @@
         return
       case 'reply': return this._reply(effect.requestId, effect.reply)
       case 'forward': return this._forward(effect)
+      case 'cancelForward':
+        this._forwards.get(effect.requestId)?.abort()
+        this._forwards.delete(effect.requestId)
+        return
       case 'log': return this._log.write(effect.level, effect.event, { node: this._settings.node, ...effect.fields })
       case 'exit':
         void this.close().then(() => this._options.onExit?.())
--- a/packages/testing/src/common/host/fleet.ts
+++ b/packages/testing/src/common/host/fleet.ts
@@ -84,6 +84,7 @@
   readonly disturbances: Disturbance[] = []
   private readonly _zones = new Map<string, string>()
   private readonly _cuts = new Set<string>()
+  private readonly _forwards = new Map<string, () => void>()
   private readonly _replies = new Map<string, (reply: CallerReply) => void>()
   private readonly _clientRandom: SeededRandom
   private _lastRequest = 0
@@ -217,6 +218,18 @@
     this.nodes.get(name)?.kill()
   }
 
+  /** Breaks every caller's connection to a node, which learns of it. */
+  dropConnections (name: string): void {
+    const node = this.nodes.get(name)
+    if (node === undefined) return
+    const connections = [...node.connections]
+    node.connections.clear()
+    for (const [requestId, breakConnection] of connections) {
+      breakConnection()
+      node.handle({ type: 'callerGone', requestId })
+    }
+  }
+
   /** Cuts the link between two machines, both ways; a machine may be named by its zone. */
   cut (left: string, right: string): void {
     this._cuts.add(linkKey(left, right))
@@ -273,6 +286,9 @@
         return
       case 'reply': return this._reply(effect.requestId, effect.reply)
       case 'forward': return this._forward(node, effect)
+      case 'cancelForward':
+        this._forwards.get(`${node.identity.node}/${effect.requestId}`)?.()
+        return
       case 'log':
         this.options.onLog?.(node.identity.node, effect.event, effect.fields, this.events.nowMs())
         return
@@ -377,7 +393,7 @@
   /** Sends a caller's request to a node by its address. */
   async send (address: string, request: CallerRequest, options: SendOptions): Promise<TransportResult> {
     return await new Promise(resolve => {
-      this._deliver(address, request, 0, this.options.callerDelayMs, options.timeoutMs, reply => {
+      const abort = this._deliver(address, request, 0, this.options.callerDelayMs, options.timeoutMs, reply => {
         if (reply.type === 'chunk') {
           options.onChunk?.(reply.text, reply.tokens)
           return
@@ -388,10 +404,11 @@
         this._hasClientWork = true
         resolve({ type: 'failed', wasSent, detail })
       })
+      options.onAbort?.(abort)
     })
   }
 
-  private _deliver (address: string, request: CallerRequest, hops: number, delayMs: number, timeoutMs: number, onReply: (reply: CallerReply) => void, onFailure: (wasSent: boolean, detail: string) => void): string {
+  private _deliver (address: string, request: CallerRequest, hops: number, delayMs: number, timeoutMs: number, onReply: (reply: CallerReply) => void, onFailure: (wasSent: boolean, detail: string) => void): () => void {
     const requestId = `q${++this._lastRequest}`
     const name = address.slice(0, address.lastIndexOf(':'))
     let isOver = false
@@ -406,10 +423,11 @@
       end()
       onFailure(wasSent, detail)
     }
-    const timeout = this.events.after(timeoutMs, () => {
+    const abort = (detail: string) => {
       this.nodes.get(name)?.handle({ type: 'callerGone', requestId })
-      fail(true, 'timed out')
-    })
+      fail(true, detail)
+    }
+    const timeout = this.events.after(timeoutMs, () => abort('timed out'))
     this.events.after(delayMs, () => {
       const node = this.nodes.get(name)
       if (isOver) return
@@ -428,7 +446,7 @@
       })
       node.handle({ type: 'callerRequest', requestId, request, hops })
     })
-    return requestId
+    return () => abort('given up')
   }
 
   private _reply (requestId: string, reply: CallerReply): void {
@@ -444,9 +462,18 @@
       return
     }
     const timeoutMs = request.type === 'step' ? request.timeoutMs + 1_000 : 10_000
-    this._deliver(to.address, request, hops, delayMs, timeoutMs,
-      reply => forward.origin.handle({ type: 'forwardReply', requestId: forward.requestId, reply }),
-      wasSent => forward.origin.handle({ type: 'forwardFailed', requestId: forward.requestId, wasSent }))
+    const key = `${node.identity.node}/${requestId}`
+    const settle = () => this._forwards.delete(key)
+    const abort = this._deliver(to.address, request, hops, delayMs, timeoutMs,
+      reply => {
+        if (reply.type !== 'chunk') settle()
+        forward.origin.handle({ type: 'forwardReply', requestId: forward.requestId, reply })
+      },
+      wasSent => {
+        settle()
+        forward.origin.handle({ type: 'forwardFailed', requestId: forward.requestId, wasSent })
+      })
+    this._forwards.set(key, abort)
   }
 }
 
--- a/packages/testing/src/common/scenario/faults.ts
+++ b/packages/testing/src/common/scenario/faults.ts
@@ -37,6 +37,7 @@
       node?.resume()
       return
     }
+    case 'dropConnections': return fleet.dropConnections(fault.node)
     case 'cut': return await cutFor(context, [fault.between], fault.forMs)
     case 'loseZone': return await cutFor(context, [...otherZones(fleet, fault.zone), 'log'].map(other => [fault.zone, other]), fault.forMs)
     case 'logDown':
@@ -142,4 +143,3 @@
     }
   }
 }
-
--- a/packages/testing/src/common/scenario/scenario.ts
+++ b/packages/testing/src/common/scenario/scenario.ts
@@ -13,6 +13,8 @@
   z.strictObject({ type: z.literal('stopNode'), atMs: timeMs, node: machine, restartAfterMs: timeMs.optional() }),
   /** The process does nothing for a while and then goes on as if nothing had happened. */
   z.strictObject({ type: z.literal('pauseNode'), atMs: timeMs, node: machine, forMs: timeMs }),
+  /** Every connection of callers to the node breaks; the process goes on. */
+  z.strictObject({ type: z.literal('dropConnections'), atMs: timeMs, node: machine }),
   /** Two machines or zones, or a machine and `log`, do not reach each other. */
   z.strictObject({ type: z.literal('cut'), atMs: timeMs, between: z.tuple([machine, machine]), forMs: timeMs }),
   z.strictObject({ type: z.literal('loseZone'), atMs: timeMs, zone: machine, forMs: timeMs }),
@@ -45,6 +47,8 @@
   nodesPerZone: countSchema.default(1),
   engines: countSchema.default(3),
   services: countSchema.default(2),
+  /** Time that a service call takes. */
+  toolLatencyMs: timeMs.default(40),
   log: z.strictObject({
     appendsPerSecond: z.number().positive().default(400),
     retentionMs: timeMs.default(86_400_000),
--- a/packages/testing/src/common/scenario/scenarioRunner.ts
+++ b/packages/testing/src/common/scenario/scenarioRunner.ts
@@ -95,7 +95,7 @@
   })
   for (const backend of document.backends) {
     if (backend.type === 'modelEngine') fleet.addEngines(backend.name, scenario.engines, { chunkTokens: 16, checksFencing: backend.checksFencing })
-    else fleet.addServices(backend.name, scenario.services, { checksIdempotencyKeys: backend.checksIdempotencyKeys })
+    else fleet.addServices(backend.name, scenario.services, { checksIdempotencyKeys: backend.checksIdempotencyKeys, latencyMs: scenario.toolLatencyMs })
   }
   return fleet
 }
@@ -170,4 +170,3 @@
   if (maxWorkerCrashes !== undefined && counts.workerCrashes > maxWorkerCrashes) violations.push({ rule: 'expected crashes', detail: `${counts.workerCrashes} crashes of workers` })
   return violations
 }
-
--- a/packages/testing/src/common/scenario/search.ts
+++ b/packages/testing/src/common/scenario/search.ts
@@ -12,6 +12,8 @@
 export interface SearchOptions extends ScenarioOptions {
   runs: number
   seed: number
+  /** Called before each run. */
+  onScenario?: (scenario: Scenario) => void
   /** Called after each run. */
   onRun?: (result: ScenarioResult) => void
 }
@@ -31,6 +33,7 @@
   let runs = 0
   let last: ScenarioResult | undefined
   const property = fc.asyncProperty(scenarioArbitrary(), async scenario => {
+    options.onScenario?.(scenario)
     const result = await runScenario(scenario, options)
     runs++
     addCounts(totals, result.counts)
@@ -50,13 +53,15 @@
     firm: fc.constantFrom('harrow' as const, 'plecionka' as const),
     hidesOffsets: fc.boolean(),
     appendsPerSecond: fc.constantFrom(400, 40, 15),
+    toolLatencyMs: fc.constantFrom(40, 400, 3_000),
     retentionMs: fc.constantFrom(86_400_000, 86_400_000, 200_000),
     vanishingShare: fc.constantFrom(0, 0.2),
     faults: fc.array(faultArbitrary(), { minLength: 1, maxLength: MAX_FAULTS })
-  }).map(({ seed, firm, hidesOffsets, appendsPerSecond, retentionMs, vanishingShare, faults }) => scenarioSchema.parse({
+  }).map(({ seed, firm, hidesOffsets, appendsPerSecond, retentionMs, toolLatencyMs, vanishingShare, faults }) => scenarioSchema.parse({
     name: 'search',
     seed,
     firm,
+    toolLatencyMs,
     log: { hidesOffsets, appendsPerSecond, retentionMs },
     workload: { programs: 8, meanArrivalMs: 2_000, vanishingShare },
     faults: faults.map(fault => renameWorkers(fault, firm))
@@ -79,6 +84,7 @@
     fc.record({ type: fc.constant('killNode' as const), atMs, node, restartAfterMs }),
     fc.record({ type: fc.constant('stopNode' as const), atMs, node, restartAfterMs }),
     fc.record({ type: fc.constant('pauseNode' as const), atMs, node, forMs }),
+    fc.record({ type: fc.constant('dropConnections' as const), atMs, node }),
     fc.record({ type: fc.constant('cut' as const), atMs, between, forMs }),
     fc.record({ type: fc.constant('loseZone' as const), atMs, zone: fc.constantFrom(...ZONES), forMs }),
     fc.record({ type: fc.constant('logDown' as const), atMs, forMs }),
--- /dev/null
+++ b/packages/testing/test/common/checkers/brokenParts.test.ts
@@ -0,0 +1,157 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { type Effect, VmState } from '@trefoilshunt/core'
+import { type Fault, HARROW_DOCUMENT, runScenario, type Scenario, type ScenarioOptions, scenarioSchema } from '@trefoilshunt/testing'
+import { Configuration } from '../../../../core/src/common/configuration/configuration.js'
+import { Drain } from '../../../../core/src/common/drain/drain.js'
+import { EngineMemory } from '../../../../core/src/common/engines/engineMemory.js'
+import { CallerPort } from '../../../../core/src/common/kernel/callerPort.js'
+import { Membership } from '../../../../core/src/common/membership/membership.js'
+import { Journal, JournalEpoch } from '../../../../core/src/common/journal/journal.js'
+import { ModelDispatch } from '../../../../core/src/common/dispatch/modelDispatch.js'
+import { ProgramTable } from '../../../../core/src/common/programs/programTable.js'
+import { StepRunner } from '../../../../core/src/common/programs/stepRunner.js'
+
+/** Puts a broken method in place for the time of one action. */
+async function withBroken<T> (prototype: object, name: string, broken: (original: (...args: never[]) => unknown) => unknown, action: () => Promise<T>): Promise<T> {
+  const methods = prototype as Record<string, (...args: never[]) => unknown>
+  const original = methods[name]
+  methods[name] = broken(original) as (...args: never[]) => unknown
+  try {
+    return await action()
+  } finally {
+    methods[name] = original
+  }
+}
+
+function scenario (faults: Fault[], seed: number, more: Partial<Scenario> = {}): Scenario {
+  return scenarioSchema.parse({ name: 'broken', seed, faults, workload: { programs: 10, meanArrivalMs: 1_000 }, ...more })
+}
+
+/** True when some seed shows a violation of the rule. */
+async function isCaught (rule: string, faults: (seed: number) => Fault[], options: ScenarioOptions = {}, more: Partial<Scenario> = {}): Promise<boolean> {
+  for (let seed = 1; seed <= 25; seed++) {
+    const { violations } = await runScenario(scenario(faults(seed), seed, more), options)
+    if (violations.some(violation => violation.rule === rule)) return true
+  }
+  return false
+}
+
+/** The same faults break nothing when every part is whole. */
+async function isClean (faults: (seed: number) => Fault[], options: ScenarioOptions = {}, more: Partial<Scenario> = {}): Promise<boolean> {
+  for (let seed = 1; seed <= 5; seed++) {
+    const { violations } = await runScenario(scenario(faults(seed), seed, more), options)
+    if (violations.length > 0) return false
+  }
+  return true
+}
+
+/** Calls that take long enough for a node to die in the middle. */
+const SLOW_TOOLS = { toolLatencyMs: 3_000 }
+
+const kills = (seed: number): Fault[] => [3_000, 9_000, 15_000].map((atMs, index) => ({ type: 'killNode', atMs: atMs + seed * 97, node: ['regina-1', 'saskatoon-1', 'brandon-1'][index], restartAfterMs: 4_000 }))
+
+test('a claim that is skipped is caught', async () => {
+  const skip = () => function (this: { _dispatchService: (started: unknown, call: unknown) => void }, started: unknown, call: unknown) { this._dispatchService(started, call) }
+  assert.ok(await withBroken(StepRunner.prototype, '_claim', skip, async () => await isCaught('runs at most once', kills, {}, SLOW_TOOLS)))
+  assert.ok(await isClean(kills, {}, SLOW_TOOLS))
+})
+
+test('a fence that is ignored is caught', async () => {
+  const pauses = (seed: number): Fault[] => [4_000, 18_000].flatMap((atMs, index): Fault[] => {
+    const node = ['regina-1', 'saskatoon-1'][index]
+    return [
+      { type: 'pauseNode', atMs: atMs + seed * 131, node, forMs: 10_000 },
+      { type: 'dropConnections', atMs: atMs + seed * 131 + 2_000, node }
+    ]
+  })
+  const ignore = () => function () {}
+  assert.ok(await withBroken(Journal.prototype, '_handleFenced', ignore, async () => await withBroken(JournalEpoch.prototype, '_setFenced', ignore, async () => {
+    return await isCaught('runs at most once', pauses, {}, SLOW_TOOLS) || await isCaught('history is whole', pauses)
+  })))
+  assert.ok(await isClean(pauses))
+})
+
+test('a configuration that reverts is caught', async () => {
+  const faults = (): Fault[] => [{ type: 'raceOperators', atMs: 2_000, operators: 2 }, { type: 'raceOperators', atMs: 8_000, operators: 2 }]
+  const revert = (original: () => { revision: number } | undefined) => function (this: object) {
+    const newest = original.call(this)
+    return newest !== undefined && newest.revision >= 3 ? { ...newest, revision: 1 } : newest
+  }
+  assert.ok(await withBroken(Configuration.prototype, '_newestEnvironment', revert as never, async () => await isCaught('configuration never reverts', faults)))
+  assert.ok(await isClean(faults))
+})
+
+test('a budget that sub-agents do not share is caught', async () => {
+  const kinds = HARROW_DOCUMENT.workKinds.map(kind => ({ ...kind, budget: { ...kind.budget, toolCalls: 3 } }))
+  const options = { document: { ...HARROW_DOCUMENT, workKinds: kinds, idleTimeoutMs: 60_000 } }
+  const alone = () => function (program: unknown) { return program }
+  assert.ok(await withBroken(ProgramTable.prototype, 'rootOf', alone, async () => await isCaught('budget', () => [], options)))
+  assert.ok(await isClean(() => [], options))
+})
+
+test('engine memory that is never released is caught', async () => {
+  assert.ok(await withBroken(EngineMemory.prototype, '_release', () => () => {}, async () => await isCaught('no memory for gone programs', () => [])))
+})
+
+test('a planned stop that does not wait is caught', async () => {
+  const faults = (seed: number): Fault[] => [{ type: 'stopNode', atMs: 3_000 + seed * 50, node: 'regina-1', restartAfterMs: 2_000 }]
+  const exit = () => function (this: { _effects: { emit: (effect: Effect) => void } }) { this._effects.emit({ type: 'exit' }) }
+  assert.ok(await withBroken(Drain.prototype, '_round', exit, async () => await isCaught('planned stops cut off nothing', faults)))
+  assert.ok(await isClean(faults))
+})
+
+test('work for a leaving worker is caught', async () => {
+  const faults = (): Fault[] => [{ type: 'leaveWorker', atMs: 2_000, worker: 'tailor-models-1' }]
+  const ignore = (original: (entries: unknown) => void) => function (this: object, entries: Array<{ state: string }>) {
+    original.call(this, entries.map(entry => ({ ...entry, state: VmState.Live })))
+  }
+  assert.ok(await withBroken(Membership.prototype, 'setVmList', ignore as never, async () => await isCaught('leaving workers get no new work', faults)))
+  assert.ok(await isClean(faults))
+})
+
+test('an answer that goes to another caller is caught', async () => {
+  let held: { requestId: string, reply: unknown } | undefined
+  const cross = (original: (requestId: string, reply: unknown) => void) => function (this: object, requestId: string, reply: { type: string, result?: { type: string } }) {
+    const isModelAnswer = reply.type === 'done' && reply.result?.type === 'model'
+    if (!isModelAnswer) {
+      original.call(this, requestId, reply)
+    } else if (held === undefined) {
+      held = { requestId, reply }
+    } else {
+      original.call(this, requestId, held.reply)
+      original.call(this, held.requestId, reply)
+      held = undefined
+    }
+  }
+  assert.ok(await withBroken(CallerPort.prototype, 'reply', cross as never, async () => await isCaught('whole answer', () => [], {}, { zones: ['regina'] })))
+})
+
+test('an answer that is cut short is caught', async () => {
+  const cut = (original: (job: { maxTokens: number }) => unknown) => function (this: object, job: { maxTokens: number }) {
+    return original.call(this, { ...job, maxTokens: Math.ceil(job.maxTokens / 2) })
+  }
+  assert.ok(await withBroken(ModelDispatch.prototype, 'run', cut as never, async () => await isCaught('whole answer', () => [])))
+})
+
+test('"not run" for work that ran is caught', async () => {
+  const faults = (): Fault[] => [{ type: 'loseToolAnswers', atMs: 2_000, worker: 'shop-ledger-1', count: 10 }, { type: 'loseToolAnswers', atMs: 2_000, worker: 'shop-ledger-2', count: 10 }]
+  const lie = () => function (this: { _notRun: (started: unknown, reason: string, detail: string) => unknown }, started: unknown, reason: string, detail: string) {
+    return { type: 'notRun', reason: 'noBackend', detail }
+  }
+  assert.ok(await withBroken(StepRunner.prototype, '_unknown', lie, async () => await isCaught('"not run" is true', faults)))
+  assert.ok(await isClean(faults))
+})
+
+test('a history that is mixed with another program\'s is caught', async () => {
+  let held: string | undefined
+  const mix = (original: (...args: unknown[]) => { historyDigest?: string }) => function (this: object, ...args: unknown[]) {
+    const answer = original.apply(this, args)
+    const other = held
+    held = answer.historyDigest
+    return { ...answer, historyDigest: other ?? answer.historyDigest }
+  }
+  assert.ok(await withBroken(StepRunner.prototype, '_toAnswer', mix as never, async () => await isCaught('history is whole', () => [])))
+})
+
+test.run()
