Named experiments with baselines, ceilings and bounds

Cause: the policy had no measurement. Change: 14 experiments at the sizes of both firms in virtual time with open-loop arrivals and heavy-tailed lengths, three baselines, ceilings computed from the true lengths, and the users' measures as bounds.

--- a/packages/standins/src/common/modelEngine.ts
+++ b/packages/standins/src/common/modelEngine.ts
@@ -22,9 +22,11 @@
   /** Tokens sent in one chunk of a stream. */
   chunkTokens: number
   checksFencing: boolean
+  /** Most tokens that any engine has held for each program; shared by the engines of a model, for measurements. */
+  heldBefore: Map<string, number>
 }
 
-const DEFAULTS: Omit<ModelEngineOptions, 'name' | 'model'> = {
+const DEFAULTS: Omit<ModelEngineOptions, 'name' | 'model' | 'heldBefore'> = {
   maxBatch: 32,
   stepBaseMs: 16,
   stepPerSequenceMs: 1.5,
@@ -56,9 +58,12 @@
   /** Tokens generated, by program. */
   generatedBySession: Map<string, number>
   prefillTokens: number
-  /** Prompt tokens computed although the same program had had them in some engine's cache. */
   cachedTokens: number
+  /** Prompt tokens computed although some engine had held them for the same program. */
+  recomputedTokens: number
   generatedTokens: number
+  /** Tokens generated for requests with a raised priority. */
+  urgentTokens: number
   startedCalls: number
   crashes: number
   lastStartMs: number
@@ -73,7 +78,7 @@
 export class ModelEngine {
   readonly options: ModelEngineOptions
   readonly cache = new PrefixCache()
-  readonly counters: EngineCounters = { generatedBySession: new Map(), prefillTokens: 0, cachedTokens: 0, generatedTokens: 0, startedCalls: 0, crashes: 0, lastStartMs: 0 }
+  readonly counters: EngineCounters = { generatedBySession: new Map(), prefillTokens: 0, cachedTokens: 0, recomputedTokens: 0, generatedTokens: 0, urgentTokens: 0, startedCalls: 0, crashes: 0, lastStartMs: 0 }
   private readonly _active = new Set<Sequence>()
   private _queue: Sequence[] = []
   private _step: IDisposable | undefined
@@ -85,7 +90,7 @@
   private _slowFactor = 1
 
   constructor (options: Partial<ModelEngineOptions> & Pick<ModelEngineOptions, 'name' | 'model'>, private readonly _host: IStandinHost) {
-    this.options = { ...DEFAULTS, ...options }
+    this.options = { ...DEFAULTS, heldBefore: new Map(), ...options }
     this._model = options.model
   }
 
@@ -246,6 +251,8 @@
     this.counters.lastStartMs = this._host.nowMs()
     this.counters.prefillTokens += sequence.prefillLeft
     this.counters.cachedTokens += sequence.cachedTokens
+    const heldBefore = Math.min(this.options.heldBefore.get(session) ?? 0, sequence.promptTokens)
+    this.counters.recomputedTokens += Math.max(0, heldBefore - sequence.cachedTokens)
   }
 
   private _activeTokens (): number {
@@ -292,7 +299,7 @@
       sequence.pendingTokens++
       sequence.position++
       sequence.generated++
-      this._count(sequence.request.session)
+      this._count(sequence.request)
     }
     const isDone = sequence.position >= sequence.length
     const isFirst = sequence.generated === 1
@@ -300,9 +307,10 @@
     if (isDone) this._finish(sequence)
   }
 
-  private _count (session: string): void {
+  private _count ({ session, priority }: EngineRequest): void {
     const { generatedBySession } = this.counters
     this.counters.generatedTokens++
+    if (priority > 0) this.counters.urgentTokens++
     generatedBySession.set(session, (generatedBySession.get(session) ?? 0) + 1)
   }
 
@@ -325,6 +333,7 @@
     const { session, retainMs } = sequence.request
     const tokens = sequence.promptTokens - sequence.prefillLeft + sequence.generated
     this.cache.store(session, tokens, this._host.nowMs() + retainMs)
+    this.options.heldBefore.set(session, Math.max(tokens, this.options.heldBefore.get(session) ?? 0))
   }
 
   private _currentStatus (): EngineStatus {
--- /dev/null
+++ b/packages/testing/src/common/experiments/bounds.ts
@@ -0,0 +1,99 @@
+/** The users' measures as bounds on the figures of an experiment. */
+import { atLeast, atMost, type BoundResult, type ExperimentFigures } from './experiment.js'
+import { isWithinTarget, latencyPercentile, type Measurement, select, shareOf, tokenRate, wastedShare, type ProgramSample } from './measurement.js'
+
+const LOSS_RECOVERY_MS = 5_000
+const LOSS_LOOK_MS = 30_000
+/** Tokens per second of one engine at the batch that keeps the time between tokens. */
+const ENGINE_TOKENS_PER_SECOND = 430
+const MAX_REFUSAL_MS = 1_000
+
+/** Holds in every experiment. */
+export function commonBounds ({ ours }: ExperimentFigures): BoundResult[] {
+  return [
+    atMost('promises broken', ours.violations, 0),
+    atMost('retries as a share of first attempts', ours.retries / Math.max(1, ours.firstAttempts), 0.1)
+  ]
+}
+
+/** Urgent work during a flood of other work, against the same programs in the quiet run. */
+export function urgentBounds ({ spec, ours, steady }: ExperimentFigures): BoundResult[] {
+  const isUrgent = (sample: ProgramSample) => sample.rank === 'urgent'
+  const flooded = select(ours, spec.window, isUrgent)
+  const quiet = select(steady, spec.window, isUrgent)
+  return [
+    atLeast('urgent within target, relative to steady', shareOf(flooded, isWithinTarget) / shareOf(quiet, isWithinTarget), 0.99),
+    atMost('urgent p95 latency, relative to steady', latencyPercentile(flooded, 95) / latencyPercentile(quiet, 95), 1.2)
+  ]
+}
+
+/** Programs that had started before the flood, against themselves in the quiet run. */
+export function startedBounds ({ spec, ours, steady }: ExperimentFigures): BoundResult[] {
+  const steadyLatency = new Map(steady.samples.map(sample => [`${sample.stream}/${sample.index}`, sample.latencyMs]))
+  const started = ours.samples.filter(sample => sample.arrivedAtMs < spec.window.fromMs && !sample.isRefused)
+  const isInTime = (sample: ProgramSample) => sample.latencyMs <= 2 * (steadyLatency.get(`${sample.stream}/${sample.index}`) ?? Infinity)
+  return [
+    atLeast('programs started before that finish', shareOf(started, sample => sample.isFinished), 1),
+    atLeast('programs started before within twice their steady latency', shareOf(started, isInTime), 0.95)
+  ]
+}
+
+/** What the other rank keeps of the capacity while urgent work floods in. */
+export function floorBounds ({ spec, ours }: ExperimentFigures): BoundResult[] {
+  const { fromMs, untilMs } = spec.window
+  const all = tokenRate(ours.series, fromMs, untilMs)
+  const urgent = tokenRate(ours.series, fromMs, untilMs, point => point.urgentTokens)
+  return [atLeast('share of the other rank in the tokens of the window', 1 - urgent / Math.max(1, all), spec.firm.document.ranks.other.floorShare)]
+}
+
+/** Useful work under overload. */
+export function goodputBounds ({ spec, ours, oracle }: ExperimentFigures): BoundResult[] {
+  const inWindow = select(ours, spec.window)
+  const goodput = inWindow.filter(isWithinTarget).length
+  return [
+    atLeast('programs within target, relative to the oracle in order of arrival', goodput / Math.max(1, oracle.goodputInOrder), 0.85),
+    atMost('longest time to a refusal, ms', slowestRefusalMs(inWindow), MAX_REFUSAL_MS),
+    atMost('tokens of programs that did not finish, as a share', wastedShare(ours), 0.03)
+  ]
+}
+
+function slowestRefusalMs (samples: ProgramSample[]): number {
+  return samples.reduce((slowest, sample) => sample.isRefused && sample.endedAtMs !== undefined ? Math.max(slowest, sample.endedAtMs - sample.arrivedAtMs) : slowest, 0)
+}
+
+/** Prefill that was computed before. */
+export function cacheBounds ({ ours, baselines }: ExperimentFigures): BoundResult[] {
+  const roundRobin = baselines.find(baseline => baseline.policy === 'round-robin')
+  const firstTime = ours.prefillTokens - ours.recomputedTokens
+  const bounds = [atMost('prompt tokens computed, relative to each once', ours.prefillTokens / Math.max(1, firstTime), 1.25)]
+  if (roundRobin !== undefined) bounds.unshift(atMost('prompt tokens computed again, relative to round-robin', recomputedPerToken(ours) / Math.max(1e-9, recomputedPerToken(roundRobin)), 0.1))
+  return bounds
+}
+
+/** Policies admit different numbers of programs, so the waste is counted per generated token. */
+function recomputedPerToken (measurement: Measurement): number {
+  return measurement.recomputedTokens / Math.max(1, measurement.generatedTokens)
+}
+
+/** The rate of work soon after a loss, against what came in and what the survivors can do. */
+export function lossBounds (lossAtMs: number, survivingEngines: number): (figures: ExperimentFigures) => BoundResult[] {
+  return ({ ours, steady }) => {
+    const fromMs = lossAtMs + LOSS_RECOVERY_MS
+    const untilMs = fromMs + LOSS_LOOK_MS
+    const possible = Math.min(tokenRate(steady.series, fromMs, untilMs), survivingEngines * ENGINE_TOKENS_PER_SECOND)
+    return [atLeast(`tokens per second from 5 s after the loss at ${lossAtMs / 1_000} s, relative to what is possible`, tokenRate(ours.series, fromMs, untilMs) / possible, 0.95)]
+  }
+}
+
+/** A request that crashes workers, and everybody else's work. */
+export function poisonBounds ({ ours }: ExperimentFigures): BoundResult[] {
+  return [
+    atMost('workers that the poison request crashed', ours.workerCrashes, 2),
+    atLeast('admitted programs of others that finish', shareOf(ours.samples.filter(sample => !sample.isRefused), sample => sample.isFinished), 1)
+  ]
+}
+
+/** Admitted programs reach their end. */
+export function carriedBounds ({ ours }: ExperimentFigures): BoundResult[] {
+  return [atLeast('admitted programs that finish', shareOf(ours.samples.filter(sample => !sample.isRefused), sample => sample.isFinished), 1)]
+}
--- /dev/null
+++ b/packages/testing/src/common/experiments/catalogue.ts
@@ -0,0 +1,134 @@
+/** The named experiments. */
+import { COACHING_SHAPE, FITTING_SHAPE, FOLLOW_UP_SHAPE, PATTERN_SHAPE } from '../workload/shapes.js'
+import type { PlanShape } from '../workload/programPlan.js'
+import type { ArrivalStream } from './arrivals.js'
+import { cacheBounds, carriedBounds, commonBounds, floorBounds, goodputBounds, lossBounds, poisonBounds, startedBounds, urgentBounds } from './bounds.js'
+import type { BoundResult, ExperimentFigures, ExperimentSpec, FirmSize } from './experiment.js'
+import { HARROW, PLECIONKA } from './firms.js'
+
+const FLOOD_FACTOR = 5
+const DURATION_MS = 240_000
+const FLOOD_FROM_MS = 90_000
+const FLOOD_UNTIL_MS = 180_000
+const LOSS_AT_MS = 100_000
+
+/** Programs per second in quiet times: about two thirds of what the engines can do. */
+const FITTING_RATE = 2
+const FOLLOW_UP_RATE = 2
+const PATTERN_RATE = 2
+const COACHING_RATE = 0.6
+
+type BoundsOf = (figures: ExperimentFigures) => BoundResult[]
+
+function steadyStream (name: string, shape: PlanShape, perSecond: number): ArrivalStream {
+  return { name, shape, rates: [{ fromMs: 0, perSecond }] }
+}
+
+/** Arrivals on top of the steady ones; a stream of their own, so that the steady programs stay the same. */
+function floodStream (name: string, shape: PlanShape, steadyPerSecond: number, fromMs = FLOOD_FROM_MS, untilMs = FLOOD_UNTIL_MS): ArrivalStream {
+  return { name, shape, rates: [{ fromMs, perSecond: steadyPerSecond * (FLOOD_FACTOR - 1) }, { fromMs: untilMs, perSecond: 0 }] }
+}
+
+const HARROW_STEADY = [steadyStream('fitting', FITTING_SHAPE, FITTING_RATE), steadyStream('follow-up', FOLLOW_UP_SHAPE, FOLLOW_UP_RATE)]
+const PLECIONKA_STEADY = [steadyStream('pattern', PATTERN_SHAPE, PATTERN_RATE), steadyStream('coaching', COACHING_SHAPE, COACHING_RATE)]
+const OTHER_FLOOD = floodStream('follow-up flood', FOLLOW_UP_SHAPE, FOLLOW_UP_RATE)
+const URGENT_FLOOD = floodStream('fitting flood', FITTING_SHAPE, FITTING_RATE)
+
+function create (options: Partial<ExperimentSpec> & Pick<ExperimentSpec, 'name' | 'purpose'> & { check: BoundsOf[] }): ExperimentSpec {
+  const { check, ...spec } = options
+  const firm: FirmSize = spec.firm ?? HARROW
+  return {
+    firm,
+    durationMs: DURATION_MS,
+    streams: firm === HARROW ? HARROW_STEADY : PLECIONKA_STEADY,
+    steadyStreams: firm === HARROW ? HARROW_STEADY : PLECIONKA_STEADY,
+    faults: [],
+    window: { fromMs: FLOOD_FROM_MS, untilMs: FLOOD_UNTIL_MS },
+    ...spec,
+    bounds: figures => [...commonBounds(figures), ...check.flatMap(bounds => bounds(figures))]
+  }
+}
+
+/** Every experiment, in the order in which `all` runs them. */
+export const EXPERIMENTS: readonly ExperimentSpec[] = [
+  create({ name: 'steady', purpose: 'quiet time at Harrow & Lisle', check: [cacheBounds, carriedBounds] }),
+  create({ name: 'steady-plecionka', purpose: 'quiet time at Plecionka', firm: PLECIONKA, check: [cacheBounds, carriedBounds] }),
+  create({ name: 'flood-other', purpose: 'five times the other work', streams: [...HARROW_STEADY, OTHER_FLOOD], check: [urgentBounds, startedBounds, cacheBounds] }),
+  create({ name: 'flood-urgent', purpose: 'five times the urgent work', streams: [...HARROW_STEADY, URGENT_FLOOD], check: [goodputBounds, floorBounds, startedBounds, cacheBounds] }),
+  create({
+    name: 'flood-both',
+    purpose: 'a flood of other work, then one of urgent work',
+    durationMs: 300_000,
+    streams: [...HARROW_STEADY, floodStream('follow-up flood', FOLLOW_UP_SHAPE, FOLLOW_UP_RATE, 60_000, 130_000), floodStream('fitting flood', FITTING_SHAPE, FITTING_RATE, 150_000, 220_000)],
+    window: { fromMs: 60_000, untilMs: 220_000 },
+    check: [goodputBounds, carriedBounds]
+  }),
+  create({
+    name: 'mailing-then-loss',
+    purpose: 'a dealer mailing, and two workers fail in it',
+    streams: [...HARROW_STEADY, OTHER_FLOOD],
+    faults: [
+      { type: 'crashWorker', atMs: 120_000, worker: 'tailor-models-2', restartAfterMs: 60_000 },
+      { type: 'crashWorker', atMs: 125_000, worker: 'tailor-models-5', restartAfterMs: 60_000 }
+    ],
+    check: [urgentBounds, carriedBounds]
+  }),
+  create({
+    name: 'worker-loss',
+    purpose: 'one worker fails in quiet time',
+    faults: [{ type: 'crashWorker', atMs: LOSS_AT_MS, worker: 'tailor-models-3', restartAfterMs: 120_000 }],
+    check: [lossBounds(LOSS_AT_MS, 7), carriedBounds, cacheBounds]
+  }),
+  create({
+    name: 'node-loss',
+    purpose: 'one entry VM fails in quiet time and is replaced',
+    faults: [{ type: 'killNode', atMs: LOSS_AT_MS, node: 'regina-1', restartAfterMs: 30_000 }],
+    check: [lossBounds(LOSS_AT_MS, 8), carriedBounds, cacheBounds]
+  }),
+  create({
+    name: 'zone-loss',
+    purpose: 'an availability zone loses its power',
+    faults: [{ type: 'powerOffZone', atMs: LOSS_AT_MS, zone: 'saskatoon', forMs: 60_000 }],
+    check: [lossBounds(LOSS_AT_MS, 5), carriedBounds]
+  }),
+  create({
+    name: 'log-outage-in-flood',
+    purpose: 'the log is down for a minute while other work floods in',
+    streams: [...HARROW_STEADY, OTHER_FLOOD],
+    faults: [{ type: 'logDown', atMs: 110_000, forMs: 60_000 }],
+    check: [carriedBounds]
+  }),
+  create({
+    name: 'poison',
+    purpose: 'a request that crashes every worker that runs it is sent four times',
+    faults: [{ type: 'poison', atMs: LOSS_AT_MS, resends: 3 }],
+    check: [poisonBounds]
+  }),
+  create({
+    name: 'hung-tools',
+    purpose: 'calls of two service workers hang',
+    faults: [
+      { type: 'hangTool', atMs: LOSS_AT_MS, worker: 'shop-ledger-1', count: 20 },
+      { type: 'hangTool', atMs: LOSS_AT_MS, worker: 'shop-ledger-2', count: 20 }
+    ],
+    check: [carriedBounds]
+  }),
+  create({
+    name: 'rolling-replacement',
+    purpose: 'every entry VM is stopped and replaced, one after another',
+    faults: Object.entries(HARROW.zones).flatMap(([zone, count]) => Array.from({ length: count }, (_, index) => `${zone}-${index + 1}`))
+      .map((node, index) => ({ type: 'stopNode' as const, atMs: 40_000 + index * 15_000, node, restartAfterMs: 3_000 })),
+    check: [carriedBounds, startedBounds, cacheBounds]
+  }),
+  create({
+    name: 'coaching-beside-flood',
+    purpose: 'long coaching sessions while patterns flood in',
+    firm: PLECIONKA,
+    streams: [...PLECIONKA_STEADY, floodStream('pattern flood', PATTERN_SHAPE, PATTERN_RATE)],
+    check: [floorBounds, startedBounds, cacheBounds, goodputBounds]
+  })
+]
+
+export function findExperiment (name: string): ExperimentSpec | undefined {
+  return EXPERIMENTS.find(experiment => experiment.name === name)
+}
--- /dev/null
+++ b/packages/testing/src/common/experiments/firms.ts
@@ -0,0 +1,27 @@
+/** The sizes of the two firms, from the users' brief. */
+import { HARROW_DOCUMENT, PLECIONKA_DOCUMENT } from '../workload/documents.js'
+import type { FirmSize } from './experiment.js'
+
+export const HARROW: FirmSize = {
+  name: 'harrow',
+  document: HARROW_DOCUMENT,
+  zones: { regina: 3, saskatoon: 3, brandon: 3 },
+  model: 'tailor-models',
+  engines: 8,
+  service: 'shop-ledger',
+  services: 5,
+  zoneDelayMs: 1.5,
+  callerDelayMs: 1
+}
+
+export const PLECIONKA: FirmSize = {
+  name: 'plecionka',
+  document: PLECIONKA_DOCUMENT,
+  zones: { 'krk-a': 3, 'krk-b': 3, 'nts-a': 2, 'zak-a': 2 },
+  model: 'braid-models',
+  engines: 8,
+  service: 'workshop-app',
+  services: 8,
+  zoneDelayMs: 0.5,
+  callerDelayMs: 3
+}
--- a/packages/testing/src/common/host/fleet.ts
+++ b/packages/testing/src/common/host/fleet.ts
@@ -1,6 +1,6 @@
 /** A fleet in virtual time: nodes, stand-ins and callers joined by links with delays. A test host, not a network model. */
 import {
-  type BackendEvent, type BackendRequest, type CallerReply, type CallerRequest, type CoreSettings, type Effect, type IDisposable,
+  type BackendEvent, type BackendRequest, type CallerReply, type CallerRequest, type CoreSettings, type Effect, type IDisposable, ILeads,
   type LogFields, type NodeIdentity, SeededRandom, toDisposable, type VmEntry, VmRole, VmState
 } from '@trefoilshunt/core'
 import type { ICallerTransport, IClientHost, SendOptions, TransportResult } from '@trefoilshunt/client'
@@ -134,9 +134,10 @@
   }
 
   addEngines (model: string, count: number, options: Partial<ModelEngineOptions> = {}): void {
+    const heldBefore = new Map<string, number>()
     for (let index = 1; index <= count; index++) {
       const name = `${model}-${index}`
-      this.engines.set(name, new ModelEngine({ name, model, ...options }, this.events))
+      this.engines.set(name, new ModelEngine({ name, model, heldBefore, ...options }, this.events))
       this._listBackend(name, model, VmRole.Engine, index)
     }
   }
@@ -253,6 +254,21 @@
     return this._zones.get(machine) ?? ''
   }
 
+  /** Steps that wait in the queues of all leads. */
+  waitingByRank (): { urgent: number, other: number } {
+    const waiting = { urgent: 0, other: 0 }
+    for (const node of this.liveNodes()) {
+      const leads = node.kernel.resolve<ILeads>(ILeads)
+      for (const worker of this.engines.keys()) {
+        const queue = leads.queueOf(worker)
+        if (queue === undefined) continue
+        waiting.urgent += queue.waitingOf('urgent')
+        waiting.other += queue.waitingOf('other')
+      }
+    }
+    return waiting
+  }
+
   liveNodes (): VirtualNode[] {
     return [...this.nodes.values()].filter(node => node.isAlive)
   }
--- a/packages/testing/src/common/scenario/faults.ts
+++ b/packages/testing/src/common/scenario/faults.ts
@@ -40,6 +40,7 @@
     case 'dropConnections': return fleet.dropConnections(fault.node)
     case 'cut': return await cutFor(context, [fault.between], fault.forMs)
     case 'loseZone': return await cutFor(context, [...otherZones(fleet, fault.zone), 'log'].map(other => [fault.zone, other]), fault.forMs)
+    case 'powerOffZone': return await powerOffZone(context, fault.zone, fault.forMs)
     case 'logDown':
       fleet.log.setDown(true)
       fleet.noteDisturbance('log', ['log'], fault.forMs)
@@ -105,6 +106,16 @@
   target?.restart()
 }
 
+async function powerOffZone ({ fleet }: FaultContext, zone: string, forMs: number): Promise<void> {
+  const nodes = fleet.liveNodes().map(node => node.identity.node).filter(node => fleet.zoneOf(node) === zone)
+  const workers = [...fleet.engines, ...fleet.services].filter(([name]) => fleet.zoneOf(name) === zone).map(([, worker]) => worker)
+  for (const node of nodes) fleet.killNode(node)
+  for (const worker of workers) worker.crash()
+  await fleet.clientHost.sleep(forMs)
+  for (const worker of workers) worker.restart()
+  for (const node of nodes) fleet.startNode(node, zone)
+}
+
 /** The list says that the worker leaves; the worker itself says nothing and goes on taking work. */
 function leaveWorker ({ fleet, evidence }: FaultContext, worker: string): void {
   fleet.vmList.setLeaving(worker)
--- a/packages/testing/src/common/scenario/scenario.ts
+++ b/packages/testing/src/common/scenario/scenario.ts
@@ -18,6 +18,8 @@
   /** Two machines or zones, or a machine and `log`, do not reach each other. */
   z.strictObject({ type: z.literal('cut'), atMs: timeMs, between: z.tuple([machine, machine]), forMs: timeMs }),
   z.strictObject({ type: z.literal('loseZone'), atMs: timeMs, zone: machine, forMs: timeMs }),
+  /** Nodes and workers of a zone lose their power; they start anew when it is back. */
+  z.strictObject({ type: z.literal('powerOffZone'), atMs: timeMs, zone: machine, forMs: timeMs }),
   z.strictObject({ type: z.literal('logDown'), atMs: timeMs, forMs: timeMs }),
   z.strictObject({ type: z.literal('logSlow'), atMs: timeMs, forMs: timeMs, delayMs: timeMs }),
   z.strictObject({ type: z.literal('appendFault'), atMs: timeMs, fault: z.enum([AppendFault.LoseAnswer, AppendFault.LoseRequest, AppendFault.LandLate]), count: countSchema }),
