--- a/packages/core/src/common/drain/drain.ts
+++ b/packages/core/src/common/drain/drain.ts
@@ -107,7 +107,7 @@
 
   /** The lead of the worker that caches the program, or any live node. */
   private _targetOf (tree: Tree): PeerInfo | undefined {
-    const worker = tree.members.flatMap(member => [...member.workers.values()]).at(0)
+    const worker = tree.members.flatMap(member => member.state.workers.map(entry => entry.worker)).at(0)
     const lead = worker === undefined ? undefined : this._leadTable.leadOf(worker)
     if (lead !== undefined && lead.node !== this._identity.node) return lead
     const others = this._membership.liveNodes().filter(peer => peer.node !== this._identity.node)
--- a/packages/core/src/common/engines/engineMemory.ts
+++ b/packages/core/src/common/engines/engineMemory.ts
@@ -53,7 +53,7 @@
   }
 
   private _releaseAll (program: LiveProgram): void {
-    for (const worker of program.workers.values()) {
+    for (const { worker } of program.state.workers) {
       this._release(worker, program.state.programId)
       this._noteLeft(worker, program.state.programId)
     }
--- a/packages/core/src/common/journal/journalFold.ts
+++ b/packages/core/src/common/journal/journalFold.ts
@@ -1,7 +1,7 @@
 /** The deterministic fold of a journal: which programs it holds, in which state, and who may go on with them. */
 import type { LogRecord, StoredRecord } from '../kernel/events.js'
 import type { NodeRef } from '../kernel/node.js'
-import { addTurn, type ProgramState } from '../programs/programState.js'
+import { addTurn, type ProgramState, setCachedWorker } from '../programs/programState.js'
 import type { JournalRecord } from './journalRecords.js'
 
 /** State folded from one journal. */
@@ -61,6 +61,7 @@
   if (state.fence !== undefined && !isClaimResult) return
   addTurn(program, record)
   program.reservedTokens = record.reservedTokens
+  if (record.ranOn !== undefined) setCachedWorker(program, record.ranOn.model, record.ranOn.worker)
   const root = state.programs.get(program.root) ?? program
   root.spent.steps++
   root.spent.tokens += record.spentTokens
--- a/packages/core/src/common/journal/journalRecords.ts
+++ b/packages/core/src/common/journal/journalRecords.ts
@@ -30,6 +30,8 @@
   spentTokens: number
   /** Tokens set aside for the next step; they count as spent after a takeover. */
   reservedTokens: number
+  /** Model and worker that ran the step; absent for service calls. */
+  ranOn?: { model: string, worker: string }
 }
 
 /** Announces that a non-repeatable step will be sent. */
--- a/packages/core/src/common/programs/liveProgram.ts
+++ b/packages/core/src/common/programs/liveProgram.ts
@@ -30,8 +30,6 @@
   outstandingTokens: number
   /** Tokens used by cancelled steps, to be recorded with the next turn. */
   carriedTokens: number
-  /** Worker whose cache holds the program's history, by model. */
-  workers: Map<string, string>
   lastActiveMs: number
   /** Time of the last record that holds the whole state. */
   snapshotAtMs: number
@@ -54,7 +52,6 @@
     waiting: new Map(),
     outstandingTokens: 0,
     carriedTokens: 0,
-    workers: new Map(),
     lastActiveMs: nowMs,
     snapshotAtMs: nowMs,
     closedAtMs: state.closedReason === undefined ? undefined : nowMs,
--- a/packages/core/src/common/programs/programOpening.ts
+++ b/packages/core/src/common/programs/programOpening.ts
@@ -181,10 +181,10 @@
       dueAtMs: parent?.state.dueAtMs ?? nowMs + (request.targetMs ?? kind.targetMs),
       turns: [],
       spent: { tokens: 0, steps: 0, toolCalls: 0 },
-      reservedTokens: 0
+      reservedTokens: 0,
+      workers: worker === undefined || kind.models.length === 0 ? [] : [{ model: kind.models[0], worker }]
     }
     const program = createLiveProgram(state, this._journal.current, nowMs)
-    if (worker !== undefined && kind.models.length > 0) program.workers.set(kind.models[0], worker)
     this._programs.add(program)
     this._rememberKey(request, programId)
     appendWithin({
--- a/packages/core/src/common/programs/programRebuilder.ts
+++ b/packages/core/src/common/programs/programRebuilder.ts
@@ -70,7 +70,8 @@
       dueAtMs: nowMs + kind.targetMs,
       turns: [],
       spent: { tokens: 0, steps: 0, toolCalls: 0 },
-      reservedTokens: 0
+      reservedTokens: 0,
+      workers: []
     }
   }
 }
--- a/packages/core/src/common/programs/programState.ts
+++ b/packages/core/src/common/programs/programState.ts
@@ -44,6 +44,8 @@
   spent: Spending
   /** Tokens that may have been used by a step that is not recorded. */
   reservedTokens: number
+  /** Worker that holds the history in its cache, by model. */
+  workers: Array<{ model: string, worker: string }>
   openClaim?: OpenClaim
   closedReason?: string
 }
@@ -53,6 +55,16 @@
   return program.turns.at(-1)?.historyDigest ?? initialDigest(program.programId)
 }
 
+/** The worker that probably holds the program's history in its cache. */
+export function cachedWorkerOf (program: ProgramState, model: string): string | undefined {
+  return program.workers.find(entry => entry.model === model)?.worker
+}
+
+/** Notes which worker has served the program last. */
+export function setCachedWorker (program: ProgramState, model: string, worker: string): void {
+  program.workers = [...program.workers.filter(entry => entry.model !== model), { model, worker }]
+}
+
 /** Number of the step that comes next. */
 export function nextStepOf (program: ProgramState): number {
   return program.turns.length + 1
--- a/packages/core/src/common/programs/stepRunner.ts
+++ b/packages/core/src/common/programs/stepRunner.ts
@@ -19,7 +19,7 @@
 import { toConversation } from './conversation.js'
 import { type LiveProgram, type RunningStep } from './liveProgram.js'
 import { IProgramClosing } from './programClosing.js'
-import { addTurn, historyDigestOf, nextStepOf, type OpenClaim, type RecordedTurn } from './programState.js'
+import { addTurn, cachedWorkerOf, historyDigestOf, nextStepOf, type OpenClaim, type RecordedTurn, setCachedWorker } from './programState.js'
 import { IProgramTable } from './programTable.js'
 import { decideStep, digestWithUnknown } from './stepDecision.js'
 
@@ -208,7 +208,7 @@
       dueAtMs: state.dueAtMs,
       deadlineMs,
       fingerprint: fingerprintOf(program, running.callDigest),
-      cachedWorker: program.workers.get(model),
+      cachedWorker: cachedWorkerOf(state, model),
       retainMs: this._leads.pauseOf(state.kind) * RETAIN_PAUSES,
       onChunk: (text, tokens) => this._handleChunk(running, text, tokens),
       onWillRetry: (maxTokens, proceed) => {
@@ -242,8 +242,8 @@
   private _finishModel (started: StartedStep, model: string, outcome: ModelOutcome): void {
     const { program, reservation } = started
     if (outcome.type === 'done') {
-      program.workers.set(model, outcome.worker)
-      this._complete(started, outcome.result, reservation.promptTokens + outcome.chargedTokens)
+      setCachedWorker(program.state, model, outcome.worker)
+      this._complete(started, outcome.result, reservation.promptTokens + outcome.chargedTokens, { model, worker: outcome.worker })
     } else if (outcome.type === 'notRun') {
       this._abort(started, this._notRun(started, outcome.reason, outcome.detail, outcome.retryAfterMs))
     } else {
@@ -371,7 +371,7 @@
   // Ends of steps
 
   /** Records the result, then answers; the answer does not wait for a log that is down. */
-  private _complete (started: StartedStep, result: StepResult, chargedTokens: number): void {
+  private _complete (started: StartedStep, result: StepResult, chargedTokens: number, ranOn?: { model: string, worker: string }): void {
     const { program, root, request, running, reservation } = started
     const spentTokens = chargedTokens + program.carriedTokens
     const reservedTokens = Math.max(0, Math.min(tokensLeft(root), Math.max(MIN_RESERVED_TOKENS, 2 * (reservation.promptTokens + reservation.maxTokens))))
@@ -379,7 +379,7 @@
     appendWithin({
       journal: program.journal,
       timers: this._timers,
-      record: { type: 'turnCompleted', programId: program.state.programId, step: request.step, key: request.key, call: request.call, callDigest: running.callDigest, result, spentTokens, reservedTokens },
+      record: { type: 'turnCompleted', programId: program.state.programId, step: request.step, key: request.key, call: request.call, callDigest: running.callDigest, result, spentTokens, reservedTokens, ranOn },
       waitMs: this._settings.turnDurabilityWaitMs,
       onSettled: durability => {
         const isVoid = durability === 'fenced' && program.state.openClaim === undefined
--- a/packages/testing/src/common/experiments/catalogue.ts
+++ b/packages/testing/src/common/experiments/catalogue.ts
@@ -127,7 +127,9 @@
     name: 'coaching-beside-flood',
     purpose: 'long coaching sessions while patterns flood in',
     firm: PLECIONKA,
-    streams: [...PLECIONKA_STEADY, floodStream('pattern flood', PATTERN_SHAPE, PATTERN_RATE)],
+    durationMs: URGENT_FLOOD_DURATION_MS,
+    window: { fromMs: FLOOD_FROM_MS, untilMs: URGENT_FLOOD_UNTIL_MS },
+    streams: [...PLECIONKA_STEADY, floodStream('pattern flood', PATTERN_SHAPE, PATTERN_RATE, FLOOD_FROM_MS, URGENT_FLOOD_UNTIL_MS)],
     check: [floorBounds, startedBounds, cacheBounds, goodputBounds]
   })
 ]
--- a/packages/testing/src/common/experiments/oracle.ts
+++ b/packages/testing/src/common/experiments/oracle.ts
@@ -26,6 +26,12 @@
   return work.tokens * gapMs / batch
 }
 
+/** Tokens per second of an engine at the largest batch that keeps the time between tokens. */
+export function engineTokensPerSecond (promptTokensPerToken: number): number {
+  const batch = (TOKEN_GAP_LIMIT_MS - STEP_BASE_MS) / (STEP_PER_SEQUENCE_MS + promptTokensPerToken * PREFILL_MS_PER_TOKEN)
+  return batch / TOKEN_GAP_LIMIT_MS * 1_000
+}
+
 interface PathFigures {
   tokens: number
   prefillTokens: number
--- a/packages/testing/src/common/workload/shapes.ts
+++ b/packages/testing/src/common/workload/shapes.ts
@@ -41,7 +41,7 @@
   service: 'workshop-app',
   medianTurns: 20,
   turnSigma: 0.7,
-  maxTurns: 110,
+  maxTurns: 90,
   firstPromptTokens: 600,
   promptTokens: 50,
   answerTokens: 90,
