--- /dev/null
+++ b/packages/cli/src/node/operatorClient.ts
@@ -0,0 +1,30 @@
+/** Sends operators' requests to any node that answers. */
+import { type Either, Left, Right } from 'purify-ts'
+import type { CallerReply, CallerRequest } from '@trefoilshunt/core'
+import { HttpTransport } from '@trefoilshunt/client'
+
+const TIMEOUT_MS = 15_000
+
+export interface ConnectionOptions {
+  /** Addresses of nodes, tried in turn. */
+  address: string[]
+  /** Bearer key of the operator. */
+  key: string
+}
+
+/** Asks the first node that answers. */
+export async function ask (options: ConnectionOptions, request: CallerRequest): Promise<Either<string, CallerReply>> {
+  const transport = new HttpTransport({ key: options.key })
+  try {
+    let problem = 'no address given'
+    for (const address of options.address) {
+      const result = await transport.send(address, request, { timeoutMs: TIMEOUT_MS })
+      if (result.type === 'reply') return Right(result.reply)
+      problem = `${address}: ${result.detail}`
+      if (result.wasSent) break
+    }
+    return Left(problem)
+  } finally {
+    await transport.close()
+  }
+}
--- a/packages/testing/src/common/host/fleet.ts
+++ b/packages/testing/src/common/host/fleet.ts
@@ -31,6 +31,10 @@
   vmListLagMs: number
   settings: Partial<CoreSettings>
   log: Partial<LogServiceOptions>
+  /** Reads real time in milliseconds, to measure what kernels cost. */
+  stopwatch?: () => number
+  /** Counts the bytes of messages between nodes. */
+  countsBytes?: boolean
   /** Called for every log line of a node. */
   onLog?: (node: string, event: string, fields: LogFields, atMs: number) => void
 }
@@ -50,6 +54,9 @@
 /** Counts of messages and bytes, by kind. */
 export interface FleetCounters {
   peerMessages: number
+  /** Bytes of messages between nodes, when they are counted. */
+  peerBytes: number
+  backendCalls: number
   logReads: number
   events: number
 }
@@ -77,7 +84,7 @@
   readonly engines = new Map<string, ModelEngine>()
   readonly services = new Map<string, ToolService>()
   readonly databases = new Map<string, ToolDatabase>()
-  readonly counters: FleetCounters = { peerMessages: 0, logReads: 0, events: 0 }
+  readonly counters: FleetCounters = { peerMessages: 0, peerBytes: 0, backendCalls: 0, logReads: 0, events: 0 }
   /** Requests that were open when a node ended a planned stop. */
   readonly cutOffByStop: Array<{ node: string, requests: number }> = []
   /** Times at which a machine was paused or cut off, for checkers. */
@@ -121,7 +128,7 @@
       zone,
       environment: this.options.environment
     }
-    const node = new VirtualNode({ identity, seed: this.random.nextInt(0x7fffffff), settings: this.options.settings, nowMs: () => this.events.nowMs(), runner: this })
+    const node = new VirtualNode({ identity, seed: this.random.nextInt(0x7fffffff), settings: this.options.settings, nowMs: () => this.events.nowMs(), runner: this, stopwatch: this.options.stopwatch })
     this.nodes.set(name, node)
     this._zones.set(name, zone)
     this.vmList.put({ name, role: VmRole.Entry, zone, address: identity.address, peerAddress: identity.peerAddress, state: VmState.Live })
@@ -339,6 +346,7 @@
 
   private _sendPeer (node: VirtualNode, effect: Extract<Effect, { type: 'sendPeer' }>): void {
     this.counters.peerMessages++
+    if (this.options.countsBytes === true) this.counters.peerBytes += JSON.stringify(effect.envelope).length
     const from = node.identity.node
     const isCut = this._isCut(from, effect.node)
     this.events.after(isCut ? CUT_TIMEOUT_MS : this._delay(from, effect.node), () => {
@@ -353,6 +361,7 @@
 
   private _callBackend (node: VirtualNode, effect: Extract<Effect, { type: 'callBackend' }>): void {
     const { callId, worker, request, timeoutMs } = effect
+    this.counters.backendCalls++
     let call: IDisposable | undefined
     let isOver = false
     const finish = (event: BackendEvent) => {
--- a/packages/testing/src/common/host/virtualNode.ts
+++ b/packages/testing/src/common/host/virtualNode.ts
@@ -12,6 +12,8 @@
   settings: Partial<CoreSettings>
   nowMs: () => number
   runner: IEffectRunner
+  /** Reads real time in milliseconds, to measure what the kernel costs. */
+  stopwatch?: () => number
 }
 
 export class VirtualNode {
@@ -25,6 +27,8 @@
   readonly startedAtMs: number
   isAlive = true
   isPaused = false
+  /** Real time spent in the kernel so far, if there is a stopwatch. */
+  kernelMs = 0
   /** True when the node has ended by itself after a planned stop. */
   hasExited = false
   private _buffered: InputEvent[] = []
@@ -44,7 +48,9 @@
       this._buffered.push(event)
       return
     }
+    const startedMs = this._options.stopwatch?.() ?? 0
     const effects = this.kernel.handle(event, this._options.nowMs())
+    this.kernelMs += (this._options.stopwatch?.() ?? 0) - startedMs
     for (const effect of effects) this._options.runner.run(this, effect)
   }
 
