--- a/packages/core/src/common/programs/programRouting.ts
+++ b/packages/core/src/common/programs/programRouting.ts
@@ -71,7 +71,9 @@
     const home: NodeRef = { node: origin.node, incarnation: origin.incarnation, address }
     const isOwn = origin.node === this._identity.node && origin.incarnation === this._identity.incarnation
     if (isOwn) {
-      onLost('expired')
+      // The journal knows where a program went whose new home is not reachable now.
+      if (this._hints.has(programId)) this._locate(exchange, programId, home, onHere, onLost)
+      else onLost('expired')
       return
     }
     const isTrusted = exchange.hops < MAX_TRUSTED_HOPS
@@ -110,13 +112,20 @@
       return
     }
     this._callers.forward(exchange, home, ({ wasSent }) => {
-      this._hints.delete(programIdOf(exchange) ?? '')
+      this._forgetHint(programIdOf(exchange) ?? '')
       this._membership.markUnreachable(home.node)
       if (wasSent) this._answerUnknown(exchange, `the connection to ${home.node} broke`)
       else this._refuse(exchange, `node ${home.node} could not be reached`)
     })
   }
 
+  /** Where own programs went is kept: without it they would count as ended. */
+  private _forgetHint (programId: string): void {
+    const origin = parseProgramId(programId)
+    const isOwn = origin?.node === this._identity.node && origin.incarnation === this._identity.incarnation
+    if (!isOwn) this._hints.delete(programId)
+  }
+
   private _refuse (exchange: CallerExchange, detail: string): void {
     this._callers.reply(exchange.requestId, toRefusal(exchange, ReasonValue.HomeUnreachable, detail, RETRY_AFTER_MS))
   }
--- a/packages/node/src/node/main.ts
+++ b/packages/node/src/node/main.ts
@@ -15,7 +15,7 @@
 export async function main (argv: string[]): Promise<void> {
   const options = await yargs(hideBin(argv))
     .scriptName('trefoilshuntd')
-    .usage('$0 --settings FILE', 'Run one node of trefoilshunt.')
+    .usage('Usage: $0 --settings FILE\n\nRuns one node of trefoilshunt.')
     .option('settings', { type: 'string', demandOption: true, describe: 'settings file, JSON with comments' })
     .option('check', { type: 'boolean', default: false, describe: 'check the settings and exit' })
     .strict()
--- a/packages/testing/src/common/checkers/checkRun.ts
+++ b/packages/testing/src/common/checkers/checkRun.ts
@@ -130,13 +130,15 @@
     const violations: Violation[] = []
     if (digest !== program.historyDigest) violations.push({ rule: 'history is whole', detail: `${program.programId}: the fleet's digest is not that of the caller's history` })
     const lost = program.steps.find(step => isHistoryRefusal(step))
-    if (lost !== undefined) violations.push(violation('history is whole', lost, 'the fleet refused the caller\'s history'))
+    if (lost !== undefined) violations.push(violation('history is whole', lost, 'the fleet refused the caller\'s history or lost the program'))
     return violations
   })
 }
 
 function isHistoryRefusal (step: StepObservation): boolean {
-  return step.error?.type === 'notRun' && (step.error.reason === 'historyMismatch' || step.error.reason === 'keyReused')
+  const { error } = step
+  if (error?.type === 'unknown') return error.reason === 'expired'
+  return error?.type === 'notRun' && (error.reason === 'historyMismatch' || error.reason === 'keyReused')
 }
 
 /** A tree of programs never exceeds its budget. */
--- /dev/null
+++ b/scripts/soak.ts
@@ -0,0 +1,138 @@
+/**
+ * Bounded soak: real daemons as separate processes under load, with kills, freezes, planned stops, broken connections
+ * and log outages. The history checkers read what callers and stand-ins recorded. Ends with code 1 on a violation.
+ *
+ * Usage: npm run soak -- [seconds] [seed]
+ */
+import { SeededRandom } from '@trefoilshunt/core'
+import { checkRun, createPlan, FITTING_SHAPE, FOLLOW_UP_SHAPE, HARROW_DOCUMENT, ProgramDriver, RunRecord, type Violation } from '@trefoilshunt/testing'
+import { SoakFleet, type SoakNode } from './soakFleet.js'
+
+const ZONES = ['regina', 'saskatoon', 'brandon']
+const NODES_PER_ZONE = 2
+const DEFAULT_SECONDS = 150
+const MAX_SECONDS = 900
+const MEAN_FAULT_GAP_MS = 600
+const MEAN_ARRIVAL_MS = 350
+const STEP_TIMEOUT_MS = 60_000
+const FREEZE_MS = 3_500
+const LOG_OUTAGE_MS = 4_000
+const MAX_DOWN_NODES = 2
+const TARGETS = { fitting: { targetMs: 60_000, rank: 'urgent' }, 'follow-up': { targetMs: 180_000, rank: 'other' } }
+
+type FaultName = 'kill' | 'freeze' | 'stop' | 'dropEngineConnections' | 'crashEngine' | 'loseToolAnswer' | 'logOutage' | 'loseAppendAnswer'
+const PROCESS_FAULTS: ReadonlySet<FaultName> = new Set(['kill', 'freeze', 'stop'])
+const FAULT_DECK: FaultName[] = ['kill', 'kill', 'freeze', 'freeze', 'stop', 'stop', 'kill', 'freeze', 'stop', 'dropEngineConnections', 'crashEngine', 'loseToolAnswer', 'logOutage', 'loseAppendAnswer']
+
+async function main (): Promise<void> {
+  const seconds = Math.min(MAX_SECONDS, Number(process.argv[2] ?? DEFAULT_SECONDS))
+  const random = new SeededRandom(Number(process.argv[3] ?? 1))
+  const fleet = new SoakFleet({ ...HARROW_DOCUMENT, idleTimeoutMs: 120_000 }, ZONES, NODES_PER_ZONE)
+  await fleet.start()
+  const faults = new Map<FaultName, number>()
+  const violations: Violation[] = []
+  const record = new RunRecord()
+  const endMs = Date.now() + seconds * 1_000
+  const injector = injectFaults(fleet, random, faults, violations, endMs)
+  await runPrograms(fleet, record, random, endMs)
+  await injector
+  const budgets = new Map(HARROW_DOCUMENT.workKinds.map(kind => [kind.name, kind.budget]))
+  violations.push(...checkRun({ record, databases: fleet.databases, engines: fleet.engines.map(server => server.engine), budgets }))
+  await fleet.close()
+  report(record, faults, violations)
+}
+
+async function runPrograms (fleet: SoakFleet, record: RunRecord, random: SeededRandom, endMs: number): Promise<void> {
+  const driver = new ProgramDriver({ world: fleet.callerWorld, record, targets: TARGETS, streamEvery: 2, stepTimeoutMs: STEP_TIMEOUT_MS, retriesOverload: true, openTimeoutMs: STEP_TIMEOUT_MS })
+  const runs: Array<Promise<unknown>> = []
+  while (Date.now() < endMs) {
+    const shape = random.next() < 0.5 ? FITTING_SHAPE : FOLLOW_UP_SHAPE
+    runs.push(driver.run(createPlan({ ...shape, maxTurns: 8, meanPauseMs: 400, toolShare: 0.8 }, random)))
+    await fleet.callerWorld.host.sleep(random.nextExponential(MEAN_ARRIVAL_MS))
+  }
+  await Promise.all(runs)
+}
+
+async function injectFaults (fleet: SoakFleet, random: SeededRandom, faults: Map<FaultName, number>, violations: Violation[], endMs: number): Promise<void> {
+  const running: Array<Promise<void>> = []
+  while (Date.now() < endMs) {
+    await fleet.callerWorld.host.sleep(random.nextExponential(MEAN_FAULT_GAP_MS))
+    const name = FAULT_DECK[random.nextInt(FAULT_DECK.length)]
+    const node = random.sample(fleet.nodes.filter(candidate => candidate.ended === undefined && !candidate.isStopped), 1).at(0)
+    const down = fleet.nodes.filter(candidate => candidate.ended !== undefined || candidate.isStopped).length
+    if (PROCESS_FAULTS.has(name) && (node === undefined || down >= MAX_DOWN_NODES)) continue
+    faults.set(name, (faults.get(name) ?? 0) + 1)
+    running.push(strike(name, fleet, node, random, violations))
+  }
+  await Promise.all(running)
+}
+
+async function strike (name: FaultName, fleet: SoakFleet, node: SoakNode | undefined, random: SeededRandom, violations: Violation[]): Promise<void> {
+  const sleep = async (ms: number) => await fleet.callerWorld.host.sleep(ms)
+  const engine = fleet.engines[random.nextInt(fleet.engines.length)]
+  switch (name) {
+    case 'kill':
+      if (node === undefined) return
+      node.isStopped = true
+      node.process.kill('SIGKILL')
+      await sleep(500 + random.nextInt(1_500))
+      fleet.restart(node)
+      return
+    case 'freeze':
+      if (node === undefined) return
+      node.isStopped = true
+      node.process.kill('SIGSTOP')
+      await sleep(FREEZE_MS)
+      node.process.kill('SIGCONT')
+      node.isStopped = false
+      return
+    case 'stop': return await stopPlanned(fleet, node, violations)
+    case 'dropEngineConnections': return engine.server.dropConnections()
+    case 'crashEngine':
+      engine.engine.crash()
+      await sleep(1_000)
+      engine.engine.restart()
+      return
+    case 'loseToolAnswer': return fleet.tools[random.nextInt(fleet.tools.length)].service.dropAnswers(1)
+    case 'logOutage':
+      fleet.platform.log.setDown(true)
+      await sleep(LOG_OUTAGE_MS)
+      fleet.platform.log.setDown(false)
+      return
+    case 'loseAppendAnswer': return fleet.platform.log.addFaults(random.next() < 0.5 ? 'loseAnswer' : 'landLate', 1)
+  }
+}
+
+/** A planned stop must end by itself with code 0. */
+async function stopPlanned (fleet: SoakFleet, node: SoakNode | undefined, violations: Violation[]): Promise<void> {
+  if (node === undefined) return
+  node.isStopped = true
+  node.process.kill('SIGTERM')
+  for (let waits = 0; node.ended === undefined && waits < 1_500; waits++) await fleet.callerWorld.host.sleep(100)
+  if (node.ended?.code !== 0) violations.push({ rule: 'planned stops end cleanly', detail: `${node.name} ended with ${JSON.stringify(node.ended)}` })
+  if (node.ended === undefined) node.process.kill('SIGKILL')
+  await fleet.callerWorld.host.sleep(200)
+  fleet.restart(node)
+}
+
+function report (record: RunRecord, faults: Map<FaultName, number>, violations: Violation[]): void {
+  const steps = record.steps
+  const nonRepeatable = steps.filter(step => !step.isRepeatable)
+  const unknown = nonRepeatable.filter(step => step.result?.type === 'unknown' || step.error?.type === 'unknown')
+  const unfinished = record.programs.filter(program => !program.isFinished)
+  const reasons = unfinished.map(program => JSON.stringify(program.refusal ?? program.steps.at(-1)?.error ?? 'a sub-agent did not finish'))
+  const total = [...faults.values()].reduce((sum, count) => sum + count, 0)
+  const ofProcesses = [...faults].filter(([name]) => PROCESS_FAULTS.has(name)).reduce((sum, [, count]) => sum + count, 0)
+  const lines = [
+    `programs ${record.programs.length}, finished ${record.programs.length - unfinished.length}`,
+    `requests ${steps.reduce((sum, step) => sum + step.attempts.length, 0)}, steps ${steps.length}, non-repeatable ${nonRepeatable.length}, of them unknown ${unknown.length}`,
+    `faults ${total}, of processes ${ofProcesses}: ${[...faults].map(([name, count]) => `${name} ${count}`).join(', ')}`,
+    ...[...new Set(reasons)].slice(0, 10).map(reason => `not finished: ${reason}`),
+    ...violations.map(violation => `BROKEN ${violation.rule}: ${violation.detail}`),
+    `violations ${violations.length}`
+  ]
+  process.stdout.write(`${lines.join('\n')}\n`)
+  process.exit(violations.length === 0 ? 0 : 1)
+}
+
+await main()
