--- /dev/null
+++ b/packages/cli/src/node/logCostCommand.ts
@@ -0,0 +1,16 @@
+/** `trefoilshunt experiment log`: what the log costs, and what works without it. */
+import { measureClaimCost, measureOutage } from '@trefoilshunt/testing'
+import { formatTable } from '../common/table.js'
+import { type OutputOptions, printResult } from './output.js'
+
+/** Measures in virtual time and prints two tables. */
+export async function runLogCost (options: OutputOptions & { seed: number }): Promise<void> {
+  const latencies = await measureClaimCost(options.seed)
+  const outage = await measureOutage(options.seed)
+  const text = () => [
+    formatTable(['situation', 'steps', 'count', 'p50 ms', 'p95 ms'], latencies.map(row => [row.situation, row.stepClass, row.steps, row.p50Ms, row.p95Ms])),
+    'steps that began in a 60 s outage of the log:',
+    formatTable(['steps', 'count', 'done in the outage', 'done later', 'not run', 'unknown'], outage.map(row => [row.stepClass, row.steps, row.doneInOutage, row.doneLater, row.notRun, row.unknown]))
+  ].join('\n\n')
+  printResult(options, { latencies, outage }, text)
+}
--- a/packages/cli/src/node/main.ts
+++ b/packages/cli/src/node/main.ts
@@ -7,6 +7,7 @@
 import { runDemo } from './demoCommand.js'
 import { runExperiments, runScenarios, runSearch } from './experimentCommands.js'
 import { runLoad } from './loadCommand.js'
+import { runLogCost } from './logCostCommand.js'
 import { printError } from './output.js'
 import { runSlopes } from './slopesCommand.js'
 import { runStandins } from './standinsCommand.js'
@@ -53,6 +54,7 @@
         .option('baseline', { type: 'boolean', default: true, describe: 'run the baselines too' })
         .option('report', { type: 'string', describe: 'folder for HTML and JSON reports' }), async args => await runExperiments(args))
       .command('search', 'search for fault schedules that break a promise', search => search.option('runs', { type: 'number', default: 100 }).option('seed', seedOption), async args => await runSearch(args))
+      .command('log', 'measure what the log costs and what works without it', log => log.option('seed', seedOption), async args => await runLogCost(args))
       .command('slopes', 'measure how cost grows with nodes, workers and programs', slopes => slopes.option('seed', seedOption).option('write', { type: 'string', describe: 'page in which to replace the figures' }), async args => await runSlopes(args))
       .demandCommand(1, 'name an experiment command'))
     .command('scenario <files..>', 'run scenario files in virtual time', command => command.positional('files', { type: 'string', array: true, demandOption: true }), async args => await runScenarios(args))
--- a/packages/client/src/common/client.ts
+++ b/packages/client/src/common/client.ts
@@ -160,6 +160,16 @@
     return this._historyDigest
   }
 
+  /** Address of the node that answered last, if it is still trusted. */
+  get home (): string | undefined {
+    return this._home
+  }
+
+  /** Sends the next step to this address, whether or not it is the program's home. */
+  useAddress (address: string): void {
+    this._home = address
+  }
+
   /** What the caller knows of the program, for a node that has lost it. */
   copy (): { kind: string, history: Turn[], historyDigest: string } {
     return { kind: this.kind, history: [...this.turns], historyDigest: this._historyDigest }
--- /dev/null
+++ b/packages/testing/src/common/experiments/logCost.ts
@@ -0,0 +1,104 @@
+/** What the log costs: the latency of claims, and what still works while the log is down. */
+import { SeededRandom } from '@trefoilshunt/core'
+import { ProgramDriver } from '../workload/programDriver.js'
+import { createPlan } from '../workload/programPlan.js'
+import { RunRecord, type StepObservation } from '../workload/runRecord.js'
+import { FITTING_SHAPE } from '../workload/shapes.js'
+import { createFirmFleet, putInForce } from './runPolicy.js'
+import { HARROW } from './firms.js'
+import type { Fleet } from '../host/fleet.js'
+
+const RUN_MS = 120_000
+const OUTAGE_FROM_MS = 30_000
+const OUTAGE_MS = 60_000
+const TAIL_MS = 600_000
+const STEP_TIMEOUT_MS = 30_000
+const TARGETS = { fitting: { targetMs: 60_000, rank: 'urgent' } }
+
+export type StepClass = 'model' | 'repeatable service' | 'non-repeatable service'
+
+/** Latencies of one class of steps. */
+export interface StepLatency {
+  situation: string
+  stepClass: StepClass
+  steps: number
+  p50Ms: number
+  p95Ms: number
+}
+
+/** What became of the steps that began while the log was down. */
+export interface OutageAvailability {
+  stepClass: StepClass
+  steps: number
+  /** Completed before the log was back. */
+  doneInOutage: number
+  doneLater: number
+  notRun: number
+  unknown: number
+}
+
+/** Latency of steps with an idle log and with appends at their limit. */
+export async function measureClaimCost (seed: number): Promise<StepLatency[]> {
+  const idle = await runSteps(seed, 0.3, {})
+  const atLimit = await runSteps(seed, 3, { logAppendBudgetPerSecond: 20 })
+  return [...latenciesOf('log idle', idle), ...latenciesOf('appends at their limit (2.2/s a node)', atLimit)]
+}
+
+/** Availability by class of step during an outage of the log. */
+export async function measureOutage (seed: number): Promise<OutageAvailability[]> {
+  const startedAt: { outageFromMs: number } = { outageFromMs: 0 }
+  const steps = await runSteps(seed, 2, {}, fleet => {
+    startedAt.outageFromMs = fleet.events.nowMs() + OUTAGE_FROM_MS
+    fleet.events.after(OUTAGE_FROM_MS, () => fleet.log.setDown(true))
+    fleet.events.after(OUTAGE_FROM_MS + OUTAGE_MS, () => fleet.log.setDown(false))
+  })
+  const untilMs = startedAt.outageFromMs + OUTAGE_MS
+  const begun = steps.filter(step => step.startedAtMs >= startedAt.outageFromMs && step.startedAtMs < untilMs)
+  return classes().map(stepClass => {
+    const ofClass = begun.filter(step => classOf(step) === stepClass)
+    const done = ofClass.filter(step => step.result !== undefined && step.result.type !== 'unknown')
+    return {
+      stepClass,
+      steps: ofClass.length,
+      doneInOutage: done.filter(step => (step.endedAtMs ?? Infinity) < untilMs).length,
+      doneLater: done.filter(step => (step.endedAtMs ?? Infinity) >= untilMs).length,
+      notRun: ofClass.filter(step => step.error?.type === 'notRun').length,
+      unknown: ofClass.filter(step => step.result?.type === 'unknown' || step.error?.type === 'unknown').length
+    }
+  })
+}
+
+async function runSteps (seed: number, programsPerSecond: number, settings: { logAppendBudgetPerSecond?: number }, onStart: (fleet: Fleet) => void = () => {}): Promise<StepObservation[]> {
+  const fleet = createFirmFleet(HARROW, { name: 'log cost', settings }, seed)
+  await putInForce(fleet, HARROW)
+  onStart(fleet)
+  const record = new RunRecord()
+  const driver = new ProgramDriver({ world: fleet.callerWorld, record, targets: TARGETS, stepTimeoutMs: STEP_TIMEOUT_MS })
+  const random = new SeededRandom(seed)
+  const count = Math.round(programsPerSecond * RUN_MS / 1_000)
+  const runs = Array.from({ length: count }, async (_, index) => {
+    await fleet.clientHost.sleep(index * RUN_MS / count)
+    return await driver.run(createPlan({ ...FITTING_SHAPE, toolShare: 1, nonRepeatableShare: 0.5, childShare: 0 }, random))
+  })
+  await fleet.runWhile(Promise.all(runs), RUN_MS + TAIL_MS)
+  return record.steps
+}
+
+function latenciesOf (situation: string, steps: StepObservation[]): StepLatency[] {
+  return classes().map(stepClass => {
+    const latencies = steps.filter(step => classOf(step) === stepClass && step.endedAtMs !== undefined)
+      .map(step => (step.endedAtMs as number) - step.startedAtMs)
+      .sort((left, right) => left - right)
+    const percentile = (share: number) => latencies[Math.min(latencies.length - 1, Math.floor(latencies.length * share))] ?? 0
+    return { situation, stepClass, steps: latencies.length, p50Ms: percentile(0.5), p95Ms: percentile(0.95) }
+  })
+}
+
+function classes (): StepClass[] {
+  return ['model', 'repeatable service', 'non-repeatable service']
+}
+
+function classOf (step: StepObservation): StepClass {
+  if (step.checkId === '') return 'model'
+  return step.isRepeatable ? 'repeatable service' : 'non-repeatable service'
+}
--- a/packages/testing/src/common/experiments/runPolicy.ts
+++ b/packages/testing/src/common/experiments/runPolicy.ts
@@ -66,7 +66,8 @@
   return fleet
 }
 
-async function putInForce (fleet: Fleet, firm: FirmSize): Promise<void> {
+/** Puts the document of a firm in force and lets the fleet come to rest. */
+export async function putInForce (fleet: Fleet, firm: FirmSize): Promise<void> {
   await fleet.runUntil(WARM_UP_MS)
   const address = fleet.liveNodes()[0].identity.address
   const applied = fleet.send(address, { type: 'apply', environment: 'production', baseRevision: 0, document: firm.document, by: 'operator' }, { timeoutMs: APPLY_TIMEOUT_MS })
--- a/scripts/soakFleet.ts
+++ b/scripts/soakFleet.ts
@@ -5,9 +5,9 @@
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { type ConfigurationDocument, VmRole, VmState } from '@trefoilshunt/core'
+import { type ConfigurationDocument, type CoreSettings, VmRole, VmState } from '@trefoilshunt/core'
 import { HttpTransport, realClientHost } from '@trefoilshunt/client'
-import { createToolDatabase, EngineServer, PlatformServer, type ToolDatabase, ToolServer } from '@trefoilshunt/standins'
+import { createToolDatabase, EngineServer, type ModelEngineOptions, PlatformServer, type ToolDatabase, ToolServer } from '@trefoilshunt/standins'
 import type { ICallerWorld } from '@trefoilshunt/testing'
 
 const PEER_SECRET = 'soak-fleet-shared-secret'
@@ -38,7 +38,7 @@
   private readonly _folder = mkdtempSync(join(tmpdir(), 'trefoilshunt-soak-'))
   private readonly _transports = new Map<string, HttpTransport>()
 
-  constructor (private readonly _document: ConfigurationDocument, private readonly _zones: string[], private readonly _nodesPerZone: number) {}
+  constructor (private readonly _document: ConfigurationDocument, private readonly _zones: string[], private readonly _nodesPerZone: number, private readonly _engine: Partial<ModelEngineOptions> = { chunkTokens: 4 }, private readonly _core: Partial<CoreSettings> = {}) {}
 
   async start (): Promise<void> {
     await this.platform.server.listen()
@@ -95,7 +95,7 @@
     for (let index = 1; index <= 4; index++) {
       const name = `${backend.name}-${index}`
       const isEngine = backend.type === 'modelEngine'
-      const standin = isEngine ? new EngineServer({ name, model: backend.name, chunkTokens: 4 }) : new ToolServer({ name, checksIdempotencyKeys: backend.checksIdempotencyKeys, latencyMs: 60 }, database)
+      const standin = isEngine ? new EngineServer({ name, model: backend.name, ...this._engine }) : new ToolServer({ name, checksIdempotencyKeys: backend.checksIdempotencyKeys, latencyMs: 60 }, database)
       await standin.server.listen()
       if (standin instanceof EngineServer) this.engines.push(standin)
       else this.tools.push(standin)
@@ -139,6 +139,7 @@
         operators: [{ name: 'operator', keySha256: sha256(OPERATOR_KEY) }],
         peerSecret: PEER_SECRET
       },
+      core: this._core,
       logLevel: 'error'
     }
   }
