--- /dev/null
+++ b/packages/core/test/common/placement/admission.test.ts
@@ -0,0 +1,72 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { AdmitAll, AdmitByWork, ConcurrencyLimit, KindProfiles, Rank, Residents } from '@trefoilshunt/core'
+
+const FLOORS = { urgent: 0.3, other: 0.2 }
+const TARGET_MS = 60_000
+
+interface Load { urgent: number, other: number }
+
+function isAdmitted (rank: Rank, load: Load, limit = 10): boolean {
+  const profiles = new KindProfiles()
+  for (let round = 0; round < 200; round++) {
+    profiles.noteWork('fitting', 20_000)
+    profiles.noteService('fitting', 4_000)
+    profiles.notePause('fitting', 1_000)
+  }
+  const residents = new Residents(profiles)
+  for (let index = 0; index < load.urgent; index++) residents.noteSeen(`u${index}`, 'fitting', Rank.Urgent, 0)
+  for (let index = 0; index < load.other; index++) residents.noteSeen(`o${index}`, 'fitting', Rank.Other, 0)
+  return new AdmitByWork(0.5).isAdmitted({ rank, kind: 'fitting', targetMs: TARGET_MS, limit, floors: FLOORS, residents, profiles })
+}
+
+test('an idle worker admits both ranks', () => {
+  assert.ok(isAdmitted(Rank.Urgent, { urgent: 0, other: 0 }))
+  assert.ok(isAdmitted(Rank.Other, { urgent: 0, other: 0 }))
+})
+
+test('work beyond what fits the target is refused', () => {
+  // 10 slots * 60 s * 0.5 = 300 s of work, 20 s a program.
+  assert.ok(isAdmitted(Rank.Urgent, { urgent: 13, other: 0 }))
+  assert.not(isAdmitted(Rank.Urgent, { urgent: 16, other: 0 }))
+})
+
+test('a flood of other work does not shut out urgent programs', () => {
+  assert.ok(isAdmitted(Rank.Urgent, { urgent: 5, other: 200 }))
+})
+
+test('the other rank keeps its floor in a flood of urgent work', () => {
+  assert.ok(isAdmitted(Rank.Other, { urgent: 200, other: 1 }))
+  assert.not(isAdmitted(Rank.Other, { urgent: 200, other: 5 }))
+})
+
+test('the baseline admits everything', () => {
+  assert.ok(new AdmitAll().isAdmitted())
+})
+
+test('programs that were silent for long no longer count', () => {
+  const residents = new Residents(new KindProfiles())
+  residents.noteSeen('p1', 'fitting', Rank.Urgent, 0)
+  residents.forgetSilent(1_000)
+  assert.is(residents.count, 1)
+  residents.forgetSilent(600_000)
+  assert.is(residents.count, 0)
+})
+
+test('the limit is the concurrency at which the fitted gap meets the target', () => {
+  const limit = new ConcurrencyLimit({ initial: 4, min: 2 })
+  assert.is(limit.limitFor(50, 64), 4)
+  for (let concurrency = 1; concurrency <= 30; concurrency++) {
+    for (let round = 0; round < 5; round++) limit.note(concurrency, 16 + 1.5 * concurrency)
+  }
+  assert.ok(Math.abs(limit.limitFor(46, 64) - 20) <= 1)
+  assert.is(limit.limitFor(46, 8), 8)
+})
+
+test('the limit grows no faster than it was tried', () => {
+  const limit = new ConcurrencyLimit({ initial: 4, min: 2 })
+  for (let round = 0; round < 50; round++) limit.note(4, 20)
+  assert.ok(limit.limitFor(1_000, 64) <= 6)
+})
+
+test.run()
--- /dev/null
+++ b/packages/core/test/common/placement/workerQueue.test.ts
@@ -0,0 +1,121 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createCoreSettings, type QueueItem, Rank, WorkerQueue, type SlotReport } from '@trefoilshunt/core'
+
+const REPORT: SlotReport = { isSuccess: true, serviceMs: 1_000, firstTokenMs: 100, tokenGapMs: 30, promptTokens: 10, cachedTokens: 0 }
+let lastTicket = 0
+
+function createQueue (floors = { urgent: 0, other: 0 }, slots = 2): WorkerQueue {
+  return new WorkerQueue({ worker: 'w-1', settings: createCoreSettings({ initialConcurrency: slots }), floors: () => floors, weightOf: () => 1, maxConcurrency: () => slots })
+}
+
+function item (overrides: Partial<QueueItem> = {}): QueueItem {
+  lastTicket++
+  return {
+    ticket: `t${lastTicket}`,
+    programId: `p${lastTicket}`,
+    customer: 'riders',
+    kind: 'fitting',
+    rank: Rank.Urgent,
+    isFirstStep: false,
+    dueAtMs: 60_000,
+    deadlineMs: 100_000,
+    attainedSteps: 1,
+    promptTokens: 100,
+    isSuspect: false,
+    home: 'regina-1',
+    enqueuedAtMs: 0,
+    ...overrides
+  }
+}
+
+function drain (queue: WorkerQueue, nowMs = 0): string[] {
+  const order: string[] = []
+  for (;;) {
+    const next = queue.takeNext(nowMs)
+    if (next === undefined) return order
+    order.push(next.ticket)
+    queue.remove(next.ticket, REPORT)
+  }
+}
+
+function enqueueAll (queue: WorkerQueue, items: QueueItem[]): void {
+  for (const entry of items) queue.enqueue(entry)
+}
+
+test('urgent work is served before other work', () => {
+  const queue = createQueue()
+  const other = item({ rank: Rank.Other })
+  const urgent = item()
+  enqueueAll(queue, [other, urgent])
+  assert.equal(drain(queue), [urgent.ticket, other.ticket])
+})
+
+test('the other rank gets its floor while urgent work waits', () => {
+  const queue = createQueue({ urgent: 0, other: 0.25 }, 4)
+  enqueueAll(queue, [item({ rank: Rank.Other }), item({ rank: Rank.Other }), ...Array.from({ length: 6 }, () => item())])
+  const running = [queue.takeNext(0), queue.takeNext(0), queue.takeNext(0), queue.takeNext(0)]
+  assert.is(running.filter(entry => entry?.rank === Rank.Other).length, 1)
+  assert.is(queue.takeNext(0), undefined)
+})
+
+test('started programs come before new ones, and the earlier target first', () => {
+  const queue = createQueue()
+  const fresh = item({ isFirstStep: true, attainedSteps: 0, dueAtMs: 10_000 })
+  const late = item({ dueAtMs: 50_000 })
+  const soon = item({ dueAtMs: 20_000 })
+  enqueueAll(queue, [fresh, late, soon])
+  assert.equal(drain(queue), [soon.ticket, late.ticket, fresh.ticket])
+})
+
+test('programs past their target keep one slot, and no more while others can meet theirs', () => {
+  const queue = createQueue({ urgent: 0, other: 0 }, 3)
+  const overdue = [item({ dueAtMs: 1_000 }), item({ dueAtMs: 2_000 })]
+  const timely = [item(), item(), item()]
+  enqueueAll(queue, [...overdue, ...timely])
+  const running = [queue.takeNext(5_000), queue.takeNext(5_000), queue.takeNext(5_000)].map(entry => entry?.ticket)
+  assert.equal(running.filter(ticket => overdue.some(entry => entry.ticket === ticket)), [overdue[0].ticket])
+})
+
+test('among new programs the customer with the least service comes first', () => {
+  const queue = createQueue({ urgent: 0, other: 0 }, 1)
+  const first = item({ isFirstStep: true, customer: 'riders' })
+  queue.enqueue(first)
+  queue.takeNext(0)
+  const rider = item({ isFirstStep: true, customer: 'riders', dueAtMs: 10_000 })
+  const dealer = item({ isFirstStep: true, customer: 'dealers', dueAtMs: 90_000 })
+  enqueueAll(queue, [rider, dealer])
+  queue.remove(first.ticket, REPORT)
+  assert.equal(drain(queue), [dealer.ticket, rider.ticket])
+})
+
+test('only one suspect runs on a worker at a time', () => {
+  const queue = createQueue({ urgent: 0, other: 0 }, 3)
+  const suspects = [item({ isSuspect: true }), item({ isSuspect: true })]
+  const healthy = item({ dueAtMs: 90_000 })
+  enqueueAll(queue, [...suspects, healthy])
+  assert.equal([queue.takeNext(0)?.ticket, queue.takeNext(0)?.ticket, queue.takeNext(0)?.ticket], [suspects[0].ticket, healthy.ticket, undefined])
+})
+
+test('work of the other rank stops at a lower concurrency than urgent work', () => {
+  const queue = createQueue({ urgent: 0, other: 0 }, 64)
+  for (let concurrency = 1; concurrency <= 40; concurrency++) {
+    for (let round = 0; round < 3; round++) {
+      const running = Array.from({ length: concurrency }, () => item())
+      for (const entry of running) queue.adoptInFlight(entry, 0)
+      for (const entry of running) queue.remove(entry.ticket, { ...REPORT, tokenGapMs: 16 + 1.5 * concurrency })
+    }
+  }
+  assert.ok(queue.limitOf(Rank.Other) < queue.limitOf(Rank.Urgent))
+  assert.ok(queue.limitOf(Rank.Urgent) < 40)
+})
+
+test('a free slot means no wait, a full queue a wait in proportion', () => {
+  const queue = createQueue({ urgent: 0, other: 0 }, 1)
+  assert.is(queue.expectedWaitMs(Rank.Urgent), 0)
+  enqueueAll(queue, [item(), item(), item()])
+  queue.takeNext(0)
+  assert.ok(queue.expectedWaitMs(Rank.Urgent) >= 2 * queue.serviceMs)
+})
+
+test.run()
