--- a/packages/core/src/common/kernel/settings.ts
+++ b/packages/core/src/common/kernel/settings.ts
@@ -82,7 +82,7 @@
   initialConcurrency: 12,
   minConcurrency: 2,
   tokenGapTargetMs: 53,
-  otherTokenGapTargetMs: 40,
+  otherTokenGapTargetMs: 34,
   admissionSlack: 0.3,
   enginePollMs: 1_000,
   maxAttempts: 3,
--- a/packages/core/src/common/placement/admission.ts
+++ b/packages/core/src/common/placement/admission.ts
@@ -5,6 +5,9 @@
 import type { KindProfiles, Residents } from './residents.js'
 import type { RankShares } from './workerQueue.js'
 
+/** Slots that programs of a rank need on average before its floor counts as used: they pause, and do not always fill it. */
+const FLOOR_FILL = 2
+
 /** State of a worker that an admission decision looks at. */
 export interface AdmissionQuery {
   rank: Rank
@@ -13,6 +16,8 @@
   targetMs: number
   /** Slots of the worker for this rank. */
   limit: number
+  /** Slots of the worker for both ranks together. */
+  fullLimit: number
   floors: RankShares
   residents: Residents
   profiles: KindProfiles
@@ -41,11 +46,13 @@
 export class AdmitByWork implements IAdmissionPolicy {
   constructor (private readonly _slack: number) {}
 
-  isAdmitted ({ rank, kind, targetMs, limit, floors, residents, profiles }: AdmissionQuery): boolean {
+  isAdmitted ({ rank, kind, targetMs, limit, fullLimit, floors, residents, profiles }: AdmissionQuery): boolean {
     const opposite = rank === Rank.Urgent ? Rank.Other : Rank.Urgent
     const own = residents.workLeftOf(rank) + profiles.workOf(kind)
     const budgetMs = limit * targetMs * this._slack
-    if (own <= floors[rank] * budgetMs) return true
+    const demand = residents.demandOf(rank) + profiles.dutyOf(kind)
+    const fillsFloor = own > floors[rank] * fullLimit * targetMs * this._slack && demand > floors[rank] * fullLimit * FLOOR_FILL
+    if (!fillsFloor) return true
     const urgentShare = rank === Rank.Urgent ? 1 - (residents.demandOf(opposite) > 0 ? floors.other : 0) : 1
     const before = rank === Rank.Urgent ? 0 : residents.demandOf(opposite) * targetMs * this._slack
     return own + before <= budgetMs * urgentShare
--- a/packages/core/src/common/placement/leads.ts
+++ b/packages/core/src/common/placement/leads.ts
@@ -155,7 +155,7 @@
 
   private _isAdmitted (led: LedWorker, rank: Rank, kind: string): boolean {
     const targetMs = this._configuration.findKind(kind)?.targetMs ?? 0
-    return this._admission.isAdmitted({ rank, kind, targetMs, limit: led.queue.limitOf(rank), floors: this._floors(), residents: led.residents, profiles: this._profiles })
+    return this._admission.isAdmitted({ rank, kind, targetMs, limit: led.queue.limitOf(rank), fullLimit: led.queue.limitOf(Rank.Urgent), floors: this._floors(), residents: led.residents, profiles: this._profiles })
   }
 
   private _retryAfterMs (led: LedWorker): number {
--- a/packages/core/test/common/placement/admission.test.ts
+++ b/packages/core/test/common/placement/admission.test.ts
@@ -17,7 +17,7 @@
   const residents = new Residents(profiles)
   for (let index = 0; index < load.urgent; index++) residents.noteSeen(`u${index}`, 'fitting', Rank.Urgent, 0)
   for (let index = 0; index < load.other; index++) residents.noteSeen(`o${index}`, 'fitting', Rank.Other, 0)
-  return new AdmitByWork(0.5).isAdmitted({ rank, kind: 'fitting', targetMs: TARGET_MS, limit, floors: FLOORS, residents, profiles })
+  return new AdmitByWork(0.5).isAdmitted({ rank, kind: 'fitting', targetMs: TARGET_MS, limit, fullLimit: limit, floors: FLOORS, residents, profiles })
 }
 
 test('an idle worker admits both ranks', () => {
--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -145,4 +145,3 @@
 }
 
 await main()
-
