--- a/packages/cli/src/node/main.ts
+++ b/packages/cli/src/node/main.ts
@@ -62,7 +62,8 @@
       .option('document', { type: 'string', default: `${SAMPLES}/harrow.jsonc`, describe: 'document whose back ends to serve' })
       .option('port', { type: 'number', default: 7100, describe: 'port of the log service and VM list' })
       .option('workers', { type: 'number', default: 2, describe: 'workers of each back end' })
-      .option('zone', { type: 'string', default: 'regina', describe: 'availability zone of the workers' }), async args => await runStandins(args))
+      .option('zone', { type: 'string', default: 'regina', describe: 'availability zone of the workers' })
+      .option('node', { type: 'string' as const, array: true as const, default: [] as string[], describe: 'entry VM for the VM list, NAME:ZONE:CALLERPORT:PEERPORT' }), async args => await runStandins(args))
     .demandCommand(1, 'name a command')
     .strict()
     .fail((message, error) => {
--- a/packages/cli/src/node/standinsCommand.ts
+++ b/packages/cli/src/node/standinsCommand.ts
@@ -10,6 +10,8 @@
   port: number
   workers: number
   zone: string
+  /** Entry VMs for the VM list, as NAME:ZONE:CALLERPORT:PEERPORT. */
+  node: string[]
 }
 
 /** Serves until the process is told to stop. */
@@ -29,6 +31,10 @@
       process.stdout.write(`${name} on ${standin.server.address}\n`)
     }
   }
+  for (const text of options.node) {
+    const [name, zone, callerPort, peerPort] = text.split(':')
+    platform.vmList.put({ name, role: VmRole.Entry, zone, address: `127.0.0.1:${callerPort}`, peerAddress: `127.0.0.1:${peerPort}`, state: VmState.Live })
+  }
   platform.vmList.publishNow()
   await new Promise<void>(resolve => {
     for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => resolve())
