--- a/examples/embedded.ts
+++ b/examples/embedded.ts
@@ -52,7 +52,7 @@
 
   /** Effects are answered later, never in the middle of an event. */
   private _run (effect: Effect): void {
-    const later = (event: InputEvent) => setImmediate(() => this._handle(event))
+    const later = (event: InputEvent): void => { setImmediate(() => this._handle(event)) }
     switch (effect.type) {
       case 'setTimer':
         this._timers.set(effect.timerId, setTimeout(() => this._handle({ type: 'timerFired', timerId: effect.timerId }), effect.delayMs))
--- a/packages/core/src/common/placement/admission.ts
+++ b/packages/core/src/common/placement/admission.ts
@@ -47,6 +47,8 @@
   constructor (private readonly _slack: number) {}
 
   isAdmitted ({ rank, kind, targetMs, limit, fullLimit, floors, residents, profiles }: AdmissionQuery): boolean {
+    // An idle worker takes any program: what is assumed of an unknown kind must not shut it out.
+    if (residents.count === 0) return true
     const opposite = rank === Rank.Urgent ? Rank.Other : Rank.Urgent
     const own = residents.workLeftOf(rank) + profiles.workOf(kind)
     const budgetMs = limit * targetMs * this._slack
--- a/packages/core/test/common/placement/admission.test.ts
+++ b/packages/core/test/common/placement/admission.test.ts
@@ -40,6 +40,12 @@
   assert.not(isAdmitted(Rank.Other, { urgent: 200, other: 5 }))
 })
 
+test('an idle worker admits a program whose work is assumed to exceed its target', () => {
+  const profiles = new KindProfiles()
+  const query = { rank: Rank.Other, kind: 'unknown', targetMs: 100, limit: 1, fullLimit: 1, floors: { urgent: 0, other: 0 }, residents: new Residents(profiles), profiles }
+  assert.ok(new AdmitByWork(0.3).isAdmitted(query))
+})
+
 test('the baseline admits everything', () => {
   assert.ok(new AdmitAll().isAdmitted())
 })
