Engine orders: models of a pool follow the demand, one lead a worker, the log's offset as fencing number

Cause: back ends could not share workers; no order was ever sent to an engine. Change: a document can put models into a pool. The control stream assigns workers to models; the lead claims a worker there, waits for its calls to end (and, for engines that ignore fencing numbers, for the lifetime of older orders), then orders the load with the claim's offset.

--- a/examples/embedded.ts
+++ b/examples/embedded.ts
@@ -8,7 +8,7 @@
   workKinds: [{ name: 'chat', rank: 'urgent', targetMs: 10_000, worth: 1, models: ['echo'], budget: { tokens: 1_000, steps: 10, toolCalls: 0, wallTimeMs: 60_000, depth: 0 } }],
   ranks: { urgent: { floorShare: 0 }, other: { floorShare: 0 } },
   customers: [{ name: 'me', weight: 1, maxOpenPrograms: 10 }],
-  backends: [{ name: 'echo', type: 'modelEngine', checksFencing: false, checksIdempotencyKeys: false, timeoutMs: 5_000, maxConcurrencyPerWorker: 4 }],
+  backends: [{ name: 'echo', type: 'modelEngine', orderLifetimeMs: 10_000, checksFencing: false, checksIdempotencyKeys: false, timeoutMs: 5_000, maxConcurrencyPerWorker: 4 }],
   idleTimeoutMs: 60_000,
   abandonGraceMs: 1_000
 }
--- a/packages/core/src/common/configuration/document.ts
+++ b/packages/core/src/common/configuration/document.ts
@@ -43,6 +43,10 @@
 const backendSchema = z.strictObject({
   name,
   type: z.enum(['modelEngine', 'service']),
+  /** Pool of workers that this model shares with others; the VM list names the pool as the workers' back end. */
+  pool: name.optional(),
+  /** Longest time that an order to an engine may be under way; engines that ignore fencing numbers are left alone for so long. */
+  orderLifetimeMs: positiveInt.default(10_000),
   /** Refuses orders with a fencing number below the highest seen. */
   checksFencing: z.boolean().default(false),
   /** Answers a repeated idempotency key with the first answer, and lookups of keys. */
--- a/packages/core/src/common/engines/engineMemory.ts
+++ b/packages/core/src/common/engines/engineMemory.ts
@@ -72,9 +72,9 @@
   }
 
   private _poll (): void {
-    for (const backend of this._configuration.document?.backends ?? []) {
-      if (backend.type !== 'modelEngine') continue
-      for (const worker of this._membership.workers(backend.name)) {
+    const engines = (this._configuration.document?.backends ?? []).filter(backend => backend.type === 'modelEngine')
+    for (const backend of new Set(engines.map(engine => engine.pool ?? engine.name))) {
+      for (const worker of this._membership.workers(backend)) {
         if (this._leadTable.isLead(worker.worker)) this._pollWorker(worker)
       }
     }
--- a/packages/core/src/common/engines/engines.contribution.ts
+++ b/packages/core/src/common/engines/engines.contribution.ts
@@ -1,15 +1,23 @@
 import { type IPlugin, registerPlugin } from '../kernel/plugin.js'
 import { EngineMemory } from './engineMemory.js'
+import { EngineOrders } from './engineOrders.js'
+import { IModelPools, ModelPools } from './modelPools.js'
 
 registerPlugin({
   name: 'engines',
   register (container) {
     container.registerSingleton(EngineMemory)
+    container.registerSingleton(EngineOrders)
+    container.registerSingleton(IModelPools, ModelPools)
   },
   create (container): IPlugin {
     const memory = container.resolve(EngineMemory)
+    const orders = container.resolve(EngineOrders)
     return {
-      start: () => memory.start(),
+      start () {
+        memory.start()
+        orders.start()
+      },
       dispose () {}
     }
   }
--- /dev/null
+++ b/packages/core/src/common/engines/index.ts
@@ -0,0 +1,2 @@
+export * from './modelPools.js'
+export * from './poolBalance.js'
--- /dev/null
+++ b/packages/core/src/common/engines/modelPools.ts
@@ -0,0 +1,51 @@
+/** Which worker serves which model, where several models share a pool of workers. */
+import { inject, injectable } from 'tsyringe'
+import { resolveOwner } from '../base/rendezvous.js'
+import { IConfiguration } from '../configuration/configuration.js'
+import type { Backend } from '../configuration/document.js'
+import { IMembership, type WorkerInfo } from '../membership/membership.js'
+
+/** Assigns the workers of pools to models. Every node derives the same from the control stream. */
+export interface IModelPools {
+  /** Workers that are meant to serve a back end. */
+  workersOf (backend: string): WorkerInfo[]
+  /** The back end that a worker is meant to serve; undefined when no document names it. */
+  backendOf (worker: WorkerInfo): Backend | undefined
+  /** Names of the pools in the document in force. */
+  pools (): string[]
+  /** Back ends that share a pool, by name. */
+  modelsOf (pool: string): Backend[]
+}
+export const IModelPools = Symbol('IModelPools')
+
+@injectable()
+export class ModelPools implements IModelPools {
+  constructor (
+    @inject(IConfiguration) private readonly _configuration: IConfiguration,
+    @inject(IMembership) private readonly _membership: IMembership
+  ) {}
+
+  workersOf (backend: string): WorkerInfo[] {
+    const pool = this._configuration.findBackend(backend)?.pool
+    if (pool === undefined) return this._membership.workers(backend)
+    return this._membership.workers(pool).filter(worker => this.backendOf(worker)?.name === backend)
+  }
+
+  /** The model of the last order in the log, or the same choice at every node for a worker that got none. */
+  backendOf (worker: WorkerInfo): Backend | undefined {
+    const models = this.modelsOf(worker.backend)
+    if (models.length === 0) return this._configuration.findBackend(worker.backend)
+    const order = this._configuration.state.engineOrders.find(candidate => candidate.worker === worker.worker)
+    const ordered = models.find(model => model.name === order?.model)
+    return ordered ?? resolveOwner(worker.worker, models, model => model.name)
+  }
+
+  pools (): string[] {
+    const names = (this._configuration.document?.backends ?? []).flatMap(backend => backend.pool ?? [])
+    return [...new Set(names)].sort()
+  }
+
+  modelsOf (pool: string): Backend[] {
+    return (this._configuration.document?.backends ?? []).filter(backend => backend.pool === pool)
+  }
+}
--- a/packages/core/src/common/peers/messages.ts
+++ b/packages/core/src/common/peers/messages.ts
@@ -101,6 +101,12 @@
   programId: string
 }
 
+/** Asks a lead how busy its workers of a pool are. */
+export interface DemandRequest { type: 'demandRequest', pool: string }
+/** Calls that run or wait at a worker, and programs refused there lately. */
+export interface WorkerDemand { worker: string, demand: number }
+export interface DemandAnswer { type: 'demandAnswer', workers: WorkerDemand[] }
+
 /** Asks whether programs that hold engine memory are still open at their home. */
 export interface HeldQuery { type: 'heldQuery', programIds: string[] }
 export interface HeldAnswer { type: 'heldAnswer', gone: string[] }
@@ -118,6 +124,6 @@
 export interface HandoverDone { type: 'handoverDone', journal: string, programIds: string[] }
 
 export type PeerMessage = Probe | ProbeReply | OfferRequest | Offer | SlotRequest | SlotGrant | SlotRefusal | SlotRelease |
-  ResidentNotice | HeldQuery | HeldAnswer | ConfigurationRequest | ConfigurationCopy | HandoverOffer | HandoverAnswer | HandoverDone
+  ResidentNotice | DemandRequest | DemandAnswer | HeldQuery | HeldAnswer | ConfigurationRequest | ConfigurationCopy | HandoverOffer | HandoverAnswer | HandoverDone
 
 export type PeerMessageOf<K extends PeerMessage['type']> = Extract<PeerMessage, { type: K }>
--- a/packages/core/src/common/placement/leads.ts
+++ b/packages/core/src/common/placement/leads.ts
@@ -7,6 +7,7 @@
 import { ITimers } from '../kernel/timers.js'
 import { IConfiguration } from '../configuration/configuration.js'
 import { Rank } from '../configuration/document.js'
+import { IModelPools } from '../engines/modelPools.js'
 import { IMembership } from '../membership/membership.js'
 import type { Offer, SlotReport, SlotRequest } from '../peers/messages.js'
 import { IPeers } from '../peers/peers.js'
@@ -16,6 +17,8 @@
 import { type QueueItem, type RankShares, WorkerQueue } from './workerQueue.js'
 
 const SWEEP_MS = 1_000
+/** Share of the counted refusals that is kept from one sweep to the next. */
+const REFUSAL_DECAY = 0.8
 const MIN_RETRY_AFTER_MS = 1_000
 const MAX_RETRY_AFTER_MS = 15_000
 /** Tickets granted longer ago than this were lost with their home's release. */
@@ -38,6 +41,11 @@
   /** Expected pause between two engine calls of a kind. */
   pauseOf (kind: string): number
   queueOf (worker: string): WorkerQueue | undefined
+  /** Grants no slot of a worker until `resume`: its engine is about to change its model. */
+  pause (worker: string): void
+  resume (worker: string): void
+  /** Calls that run or wait at a worker, and programs refused there lately. */
+  demandOf (worker: string): number
 }
 export const ILeads = Symbol('ILeads')
 
@@ -45,6 +53,9 @@
   queue: WorkerQueue
   residents: Residents
   answers: Map<string, (answer: SlotAnswer) => void>
+  isPaused: boolean
+  /** Refused openings, decayed by half each sweep. */
+  refusals: number
 }
 
 @injectable()
@@ -62,7 +73,8 @@
     @inject(IConfiguration) private readonly _configuration: IConfiguration,
     @inject(IMembership) private readonly _membership: IMembership,
     @inject(ILeadTable) private readonly _leadTable: ILeadTable,
-    @inject(IPeers) private readonly _peers: IPeers
+    @inject(IPeers) private readonly _peers: IPeers,
+    @inject(IModelPools) private readonly _pools: IModelPools
   ) {
     this._admission = createAdmissionPolicy(_settings)
   }
@@ -122,12 +134,14 @@
     const isUsable = this._membership.findWorker(worker) !== undefined && this._leadTable.isLead(worker)
     if (!isUsable) return { type: 'offer', worker, isUsable, isAdmitted: false, expectedWaitMs: 0, load: 0, retryAfterMs: MIN_RETRY_AFTER_MS }
     const led = this._resolveWorker(worker)
+    const isAdmitted = !led.isPaused && this._isAdmitted(led, rank, kind)
+    if (!isAdmitted) led.refusals++
     const demand = led.residents.demandOf(Rank.Urgent) + led.residents.demandOf(Rank.Other)
     return {
       type: 'offer',
       worker,
       isUsable,
-      isAdmitted: this._isAdmitted(led, rank, kind),
+      isAdmitted,
       expectedWaitMs: led.queue.expectedWaitMs(rank),
       load: demand / led.queue.limitOf(rank),
       retryAfterMs: this._retryAfterMs(led)
@@ -153,6 +167,27 @@
     return this._workers.get(worker)?.queue
   }
 
+  pause (worker: string): void {
+    const led = this._workers.get(worker)
+    if (led === undefined || led.isPaused) return
+    led.isPaused = true
+    for (const item of led.queue.items()) {
+      if (item.grantedAtMs === undefined) this._refuse(led, item, 'workerGone')
+    }
+  }
+
+  resume (worker: string): void {
+    const led = this._workers.get(worker)
+    if (led === undefined || !led.isPaused) return
+    led.isPaused = false
+    this._pump(led)
+  }
+
+  demandOf (worker: string): number {
+    const led = this._workers.get(worker)
+    return led === undefined ? 0 : led.queue.inFlightCount + led.queue.waitingCount + led.refusals
+  }
+
   private _isAdmitted (led: LedWorker, rank: Rank, kind: string): boolean {
     const targetMs = this._configuration.findKind(kind)?.targetMs ?? 0
     return this._admission.isAdmitted({ rank, kind, targetMs, limit: led.queue.limitOf(rank), fullLimit: led.queue.limitOf(Rank.Urgent), floors: this._floors(), residents: led.residents, profiles: this._profiles })
@@ -170,8 +205,8 @@
   }
 
   private _maxConcurrency (worker: string): number {
-    const backend = this._membership.findWorker(worker)?.backend ?? ''
-    return this._configuration.findBackend(backend)?.maxConcurrencyPerWorker ?? DEFAULT_MAX_CONCURRENCY
+    const info = this._membership.findWorker(worker)
+    return (info === undefined ? undefined : this._pools.backendOf(info))?.maxConcurrencyPerWorker ?? DEFAULT_MAX_CONCURRENCY
   }
 
   private _resolveWorker (worker: string): LedWorker {
@@ -184,7 +219,7 @@
         weightOf: customer => this._configuration.findCustomer(customer)?.weight ?? 1,
         maxConcurrency: () => this._maxConcurrency(worker)
       })
-      led = { queue, residents: new Residents(this._profiles), answers: new Map() }
+      led = { queue, residents: new Residents(this._profiles), answers: new Map(), isPaused: false, refusals: 0 }
       this._workers.set(worker, led)
     }
     return led
@@ -192,7 +227,7 @@
 
   /** Grants slots while there are any. */
   private _pump (led: LedWorker): void {
-    for (;;) {
+    while (!led.isPaused) {
       const item = led.queue.takeNext(this._clock.nowMs())
       if (item === undefined) return
       this._answer(led, item, { type: 'granted' })
@@ -245,6 +280,7 @@
         if (isStale) led.queue.remove(item.ticket)
       }
       led.residents.forgetSilent(nowMs)
+      led.refusals *= REFUSAL_DECAY
       this._pump(led)
     }
   }
--- a/packages/core/src/common/placement/placement.ts
+++ b/packages/core/src/common/placement/placement.ts
@@ -4,6 +4,7 @@
 import { IRandom } from '../kernel/random.js'
 import { CoreSettings, PlacementPolicy } from '../kernel/settings.js'
 import type { Rank } from '../configuration/document.js'
+import { IModelPools } from '../engines/modelPools.js'
 import { IMembership, type WorkerInfo } from '../membership/membership.js'
 import type { Offer } from '../peers/messages.js'
 import { IPeers } from '../peers/peers.js'
@@ -51,7 +52,8 @@
     @inject(ILeadTable) private readonly _leadTable: ILeadTable,
     @inject(ILeads) private readonly _leads: ILeads,
     @inject(IPeers) private readonly _peers: IPeers,
-    @inject(IOutliers) private readonly _outliers: IOutliers
+    @inject(IOutliers) private readonly _outliers: IOutliers,
+    @inject(IModelPools) private readonly _pools: IModelPools
   ) {
     this._lastRoundRobin = _random.nextInt(1_000)
   }
@@ -99,7 +101,7 @@
   }
 
   private _candidates (query: { model: string, excluded: ReadonlySet<string> }): WorkerInfo[] {
-    const workers = this._membership.workers(query.model)
+    const workers = this._pools.workersOf(query.model)
     const allowed = workers.filter(worker => !query.excluded.has(worker.worker))
     const healthy = allowed.filter(worker => !this._outliers.isEjected(worker.worker))
     return healthy.length > 0 ? healthy : allowed
@@ -119,10 +121,15 @@
   private _usableCached (query: WorkerQuery): string | undefined {
     const { cachedWorker } = query
     const isUsable = cachedWorker !== undefined && !query.excluded.has(cachedWorker) &&
-      this._membership.findWorker(cachedWorker) !== undefined && !this._outliers.isEjected(cachedWorker)
+      this._serves(cachedWorker, query.model) && !this._outliers.isEjected(cachedWorker)
     return isUsable ? cachedWorker : undefined
   }
 
+  private _serves (worker: string, model: string): boolean {
+    const info = this._membership.findWorker(worker)
+    return info !== undefined && this._pools.backendOf(info)?.name === model
+  }
+
   /** Only the lead knows the wait, so a step whose lead is elsewhere stays with its cache. */
   private _isWorthLeaving (cached: string, query: WorkerQuery): boolean {
     const queue = this._leadTable.isLead(cached) ? this._leads.queueOf(cached) : undefined
--- a/packages/standins/src/common/modelEngine.ts
+++ b/packages/standins/src/common/modelEngine.ts
@@ -2,6 +2,7 @@
 import { type BackendEvent, type ChatMessage, type EngineRequest, type EngineStatus, hash32, type IDisposable, toDisposable } from '@trefoilshunt/core'
 import { answerLength, answerToken, isPoison, tokensOf } from './answers.js'
 import { PrefixCache } from './prefixCache.js'
+import type { WeightStore } from './weightStore.js'
 import type { IStandinHost } from './standinHost.js'
 
 export interface ModelEngineOptions {
@@ -22,6 +23,9 @@
   /** Tokens sent in one chunk of a stream. */
   chunkTokens: number
   checksFencing: boolean
+  /** Where models are loaded from; loading takes no time without one. */
+  weights?: WeightStore
+  modelBytes: number
   /** Most tokens that any engine has held for each program; shared by the engines of a model, for measurements. */
   heldBefore: Map<string, number>
 }
@@ -35,7 +39,8 @@
   kvTokensCapacity: 400_000,
   reportLagMs: 500,
   chunkTokens: 8,
-  checksFencing: true
+  checksFencing: true,
+  modelBytes: 10_000_000_000
 }
 
 interface Sequence {
@@ -69,6 +74,7 @@
   /** Mean time between tokens of each finished call. */
   tokenGapsMs: number[]
   crashes: number
+  loads: number
   lastStartMs: number
 }
 
@@ -81,7 +87,7 @@
 export class ModelEngine {
   readonly options: ModelEngineOptions
   readonly cache = new PrefixCache()
-  readonly counters: EngineCounters = { generatedBySession: new Map(), prefillTokens: 0, cachedTokens: 0, recomputedTokens: 0, generatedTokens: 0, urgentTokens: 0, startedCalls: 0, tokenGapsMs: [], crashes: 0, lastStartMs: 0 }
+  readonly counters: EngineCounters = { generatedBySession: new Map(), prefillTokens: 0, cachedTokens: 0, recomputedTokens: 0, generatedTokens: 0, urgentTokens: 0, startedCalls: 0, tokenGapsMs: [], crashes: 0, loads: 0, lastStartMs: 0 }
   private readonly _active = new Set<Sequence>()
   private _queue: Sequence[] = []
   private _step: IDisposable | undefined
@@ -119,6 +125,10 @@
       listener({ type: 'failed', isUntouched: true, isConnectionLost: false, isLeaving: true, detail: 'the engine is leaving' })
       return toDisposable(() => {})
     }
+    if (request.model !== this._model) {
+      listener({ type: 'failed', isUntouched: true, isConnectionLost: false, isLeaving: false, detail: `the model ${request.model} is not loaded` })
+      return toDisposable(() => {})
+    }
     const sequence = this._createSequence(request, listener)
     const index = this._queue.findIndex(other => other.request.priority < request.priority)
     this._queue.splice(index < 0 ? this._queue.length : index, 0, sequence)
@@ -157,7 +167,12 @@
   load (model: string, fencingNumber: number): boolean {
     if (this.options.checksFencing && fencingNumber < this._highestFencingNumber) return false
     this._highestFencingNumber = Math.max(this._highestFencingNumber, fencingNumber)
-    this._model = model
+    this.counters.loads++
+    this._model = ''
+    this.cache.clear()
+    const finish = () => { this._model = model }
+    if (this.options.weights === undefined) finish()
+    else this.options.weights.load(this.options.modelBytes, finish)
     return true
   }
 
--- a/packages/testing/src/common/host/fleet.ts
+++ b/packages/testing/src/common/host/fleet.ts
@@ -149,6 +149,15 @@
     }
   }
 
+  /** Workers of a pool; each begins with one of the pool's models. */
+  addPool (pool: string, models: string[], count: number, options: Partial<ModelEngineOptions> = {}): void {
+    for (let index = 1; index <= count; index++) {
+      const name = `${pool}-${index}`
+      this.engines.set(name, new ModelEngine({ name, model: models[index % models.length], ...options }, this.events))
+      this._listBackend(name, pool, VmRole.Engine, index)
+    }
+  }
+
   addServices (service: string, count: number, options: { latencyMs?: number, checksIdempotencyKeys?: boolean } = {}): void {
     const database = createToolDatabase()
     this.databases.set(service, database)
--- a/packages/testing/src/common/workload/documents.ts
+++ b/packages/testing/src/common/workload/documents.ts
@@ -13,8 +13,8 @@
     { name: 'dealers', weight: 1, maxOpenPrograms: 10_000 }
   ],
   backends: [
-    { name: 'tailor-models', type: 'modelEngine', checksFencing: true, checksIdempotencyKeys: false, timeoutMs: 60_000, maxConcurrencyPerWorker: 32 },
-    { name: 'shop-ledger', type: 'service', checksFencing: false, checksIdempotencyKeys: false, timeoutMs: 10_000, maxConcurrencyPerWorker: 64 }
+    { name: 'tailor-models', type: 'modelEngine', orderLifetimeMs: 10_000, checksFencing: true, checksIdempotencyKeys: false, timeoutMs: 60_000, maxConcurrencyPerWorker: 32 },
+    { name: 'shop-ledger', type: 'service', orderLifetimeMs: 10_000, checksFencing: false, checksIdempotencyKeys: false, timeoutMs: 10_000, maxConcurrencyPerWorker: 64 }
   ],
   idleTimeoutMs: 600_000,
   abandonGraceMs: 5_000
@@ -32,8 +32,8 @@
     { name: 'apprentices', weight: 1, maxOpenPrograms: 10_000 }
   ],
   backends: [
-    { name: 'braid-models', type: 'modelEngine', checksFencing: false, checksIdempotencyKeys: false, timeoutMs: 60_000, maxConcurrencyPerWorker: 32 },
-    { name: 'workshop-app', type: 'service', checksFencing: false, checksIdempotencyKeys: true, timeoutMs: 10_000, maxConcurrencyPerWorker: 64 }
+    { name: 'braid-models', type: 'modelEngine', orderLifetimeMs: 10_000, checksFencing: false, checksIdempotencyKeys: false, timeoutMs: 60_000, maxConcurrencyPerWorker: 32 },
+    { name: 'workshop-app', type: 'service', orderLifetimeMs: 10_000, checksFencing: false, checksIdempotencyKeys: true, timeoutMs: 10_000, maxConcurrencyPerWorker: 64 }
   ],
   idleTimeoutMs: 900_000,
   abandonGraceMs: 5_000
