--- a/packages/core/src/common/kernel/settings.ts
+++ b/packages/core/src/common/kernel/settings.ts
@@ -40,8 +40,10 @@
   tokenGapTargetMs: number
   /** The same for work of the other rank, which must not slow urgent calls beside it. */
   otherTokenGapTargetMs: number
-  /** Share of the time to its target that a program's engine work and queueing may be expected to take at opening. */
-  admissionSlack: number
+  /** Time that a program is expected to need without queues, relative to its kind's mean: lengths have heavy tails. */
+  admissionTailFactor: number
+  /** Share of the target that may go into queues at the least, whatever a kind needs. */
+  admissionMinSlack: number
   enginePollMs: number
   /** Attempts of a repeatable call, the first included. */
   maxAttempts: number
@@ -81,9 +83,10 @@
   admissionWaitMs: 500,
   initialConcurrency: 12,
   minConcurrency: 2,
-  tokenGapTargetMs: 53,
+  tokenGapTargetMs: 52,
   otherTokenGapTargetMs: 34,
-  admissionSlack: 0.3,
+  admissionTailFactor: 2.4,
+  admissionMinSlack: 0.25,
   enginePollMs: 1_000,
   maxAttempts: 3,
   retryBackoffMs: 100,
--- a/packages/core/src/common/placement/admission.ts
+++ b/packages/core/src/common/placement/admission.ts
@@ -28,6 +28,13 @@
   isAdmitted (query: AdmissionQuery): boolean
 }
 
+export interface AdmissionOptions {
+  /** Duration to reckon with, relative to the mean of a kind. */
+  tailFactor: number
+  /** Share of the target that may go into queues at the least. */
+  minSlack: number
+}
+
 /** Lets every program in; the baseline without overload protection. */
 export class AdmitAll implements IAdmissionPolicy {
   isAdmitted (): boolean {
@@ -40,28 +47,35 @@
  *
  * A worker with C slots that serves N programs in turn gives each of them C/N of a slot, so a program with W of engine
  * work takes N*W/C. The engine work left of the residents therefore must fit C slots times the part of the target that
- * may be spent on it. Urgent programs count only each other and the floor of the other rank, because they are served
- * first; programs of the other rank count everything.
+ * the program does not need for itself: lengths are not known, so that is its kind's mean duration times a tail factor.
+ * Urgent programs count only each other and the floor of the other rank, because they are served first; programs of the
+ * other rank count everything.
  */
 export class AdmitByWork implements IAdmissionPolicy {
-  constructor (private readonly _slack: number) {}
+  constructor (private readonly _options: AdmissionOptions) {}
 
   isAdmitted ({ rank, kind, targetMs, limit, fullLimit, floors, residents, profiles }: AdmissionQuery): boolean {
     // An idle worker takes any program: what is assumed of an unknown kind must not shut it out.
     if (residents.count === 0) return true
     const opposite = rank === Rank.Urgent ? Rank.Other : Rank.Urgent
     const own = residents.workLeftOf(rank) + profiles.workOf(kind)
-    const budgetMs = limit * targetMs * this._slack
+    const slackMs = this._slackMs(kind, targetMs, profiles)
+    const budgetMs = limit * slackMs
     const demand = residents.demandOf(rank) + profiles.dutyOf(kind)
-    const fillsFloor = own > floors[rank] * fullLimit * targetMs * this._slack && demand > floors[rank] * fullLimit * FLOOR_FILL
-    if (!fillsFloor) return true
+    if (demand <= floors[rank] * fullLimit * FLOOR_FILL) return true
     const urgentShare = rank === Rank.Urgent ? 1 - (residents.demandOf(opposite) > 0 ? floors.other : 0) : 1
-    const before = rank === Rank.Urgent ? 0 : residents.demandOf(opposite) * targetMs * this._slack
+    const before = rank === Rank.Urgent ? 0 : residents.demandOf(opposite) * slackMs
     return own + before <= budgetMs * urgentShare
   }
+
+  /** Time that a program of the kind can spend in queues and still meet its target. */
+  private _slackMs (kind: string, targetMs: number, profiles: KindProfiles): number {
+    const { tailFactor, minSlack } = this._options
+    return Math.max(minSlack * targetMs, targetMs - tailFactor * profiles.durationOf(kind))
+  }
 }
 
 /** The rule that the settings name. */
 export function createAdmissionPolicy (settings: CoreSettings): IAdmissionPolicy {
-  return settings.admissionPolicy === AdmissionPolicy.None ? new AdmitAll() : new AdmitByWork(settings.admissionSlack)
+  return settings.admissionPolicy === AdmissionPolicy.None ? new AdmitAll() : new AdmitByWork({ tailFactor: settings.admissionTailFactor, minSlack: settings.admissionMinSlack })
 }
--- a/packages/core/src/common/placement/residents.ts
+++ b/packages/core/src/common/placement/residents.ts
@@ -42,6 +42,11 @@
     return serviceMs / (serviceMs + pauseMs)
   }
 
+  /** Time that a program of the kind takes when it never waits for a slot. */
+  durationOf (kind: string): number {
+    return this.workOf(kind) / this.dutyOf(kind)
+  }
+
   pauseOf (kind: string): number {
     return resolveEwma(this._pauseMs, kind, INITIAL_PAUSE_MS).value
   }
--- a/packages/core/test/common/placement/admission.test.ts
+++ b/packages/core/test/common/placement/admission.test.ts
@@ -17,7 +17,7 @@
   const residents = new Residents(profiles)
   for (let index = 0; index < load.urgent; index++) residents.noteSeen(`u${index}`, 'fitting', Rank.Urgent, 0)
   for (let index = 0; index < load.other; index++) residents.noteSeen(`o${index}`, 'fitting', Rank.Other, 0)
-  return new AdmitByWork(0.5).isAdmitted({ rank, kind: 'fitting', targetMs: TARGET_MS, limit, fullLimit: limit, floors: FLOORS, residents, profiles })
+  return new AdmitByWork({ tailFactor: 1.2, minSlack: 0.1 }).isAdmitted({ rank, kind: 'fitting', targetMs: TARGET_MS, limit, fullLimit: limit, floors: FLOORS, residents, profiles })
 }
 
 test('an idle worker admits both ranks', () => {
@@ -26,7 +26,7 @@
 })
 
 test('work beyond what fits the target is refused', () => {
-  // 10 slots * 60 s * 0.5 = 300 s of work, 20 s a program.
+  // 25 s a program without queues, of which 30 s are reckoned with: 10 slots * 30 s = 300 s of work, 20 s a program.
   assert.ok(isAdmitted(Rank.Urgent, { urgent: 13, other: 0 }))
   assert.not(isAdmitted(Rank.Urgent, { urgent: 16, other: 0 }))
 })
@@ -43,7 +43,7 @@
 test('an idle worker admits a program whose work is assumed to exceed its target', () => {
   const profiles = new KindProfiles()
   const query = { rank: Rank.Other, kind: 'unknown', targetMs: 100, limit: 1, fullLimit: 1, floors: { urgent: 0, other: 0 }, residents: new Residents(profiles), profiles }
-  assert.ok(new AdmitByWork(0.3).isAdmitted(query))
+  assert.ok(new AdmitByWork({ tailFactor: 1.5, minSlack: 0.25 }).isAdmitted(query))
 })
 
 test('the baseline admits everything', () => {
