--- /dev/null
+++ b/packages/core/src/common/programs/modelSteps.ts
@@ -0,0 +1,142 @@
+/** Runs the model calls of programs. */
+import { inject, injectable } from 'tsyringe'
+import { ICallers } from '../kernel/callerPort.js'
+import { type ModelCall, Reason, type StepRequest } from '../kernel/callerMessages.js'
+import { CoreSettings } from '../kernel/settings.js'
+import { ITimers } from '../kernel/timers.js'
+import { IConfiguration } from '../configuration/configuration.js'
+import type { Rank } from '../configuration/document.js'
+import { IModelDispatch, type ModelOutcome } from '../dispatch/modelDispatch.js'
+import { ILeads } from '../placement/leads.js'
+import { tokensLeft } from './budget.js'
+import { toConversation } from './conversation.js'
+import { appendWithin } from './durability.js'
+import type { RunningStep } from './liveProgram.js'
+import { cachedWorkerOf, type RecordedTurn, setCachedWorker } from './programState.js'
+import { fingerprintOf, type StartedStep } from './startedStep.js'
+import { StepEnding } from './stepEnding.js'
+
+/** The cache is kept for this many expected pauses. */
+const RETAIN_PAUSES = 4
+
+@injectable()
+export class ModelSteps {
+  constructor (
+    @inject(CoreSettings) private readonly _settings: CoreSettings,
+    @inject(ITimers) private readonly _timers: ITimers,
+    @inject(ICallers) private readonly _callers: ICallers,
+    @inject(IConfiguration) private readonly _configuration: IConfiguration,
+    @inject(IModelDispatch) private readonly _models: IModelDispatch,
+    @inject(ILeads) private readonly _leads: ILeads,
+    @inject(StepEnding) private readonly _ending: StepEnding
+  ) {}
+
+  /** Starts a call whose budget is reserved. */
+  start (started: StartedStep, call: ModelCall): void {
+    const { program, request, running, reservation } = started
+    const kind = this._configuration.findKind(program.state.kind)
+    const model = call.model ?? kind?.models.at(0)
+    if (model === undefined || this._configuration.findBackend(model)?.type !== 'modelEngine') {
+      this._ending.end(started, this._ending.notRun(started, Reason.UnknownBackend, `no model engine "${model}"`))
+      return
+    }
+    running.cancel = reason => this._cancelBeforeDispatch(started, reason)
+    this._reserveDurably(started, reservation.promptTokens + reservation.maxTokens, () => {
+      if (program.running !== running) return
+      this._dispatchModel(started, call, model, request)
+    })
+  }
+
+  private _dispatchModel (started: StartedStep, call: ModelCall, model: string, request: StepRequest): void {
+    const { program, running, reservation, deadlineMs } = started
+    const { state } = program
+    const messages = toConversation(state.turns, call.messages)
+    let chargedBefore = 0
+    const job = this._models.run({
+      programId: state.programId,
+      customer: state.customer,
+      kind: state.kind,
+      rank: state.rank as Rank,
+      model,
+      messages,
+      promptTokens: reservation.promptTokens + this._historyTokens(state.turns),
+      maxTokens: reservation.maxTokens,
+      isFirstStep: state.turns.length === 0,
+      attainedSteps: state.turns.length,
+      dueAtMs: state.dueAtMs,
+      deadlineMs,
+      fingerprint: fingerprintOf(program, running.callDigest),
+      cachedWorker: cachedWorkerOf(state, model),
+      retainMs: this._leads.pauseOf(state.kind) * RETAIN_PAUSES,
+      onChunk: (text, tokens) => this._handleChunk(running, text, tokens),
+      onWillRetry: (maxTokens, proceed) => {
+        chargedBefore += reservation.maxTokens
+        const isAffordable = tokensLeft(started.root) >= chargedBefore
+        if (isAffordable) this._reserveDurably(started, reservation.promptTokens + chargedBefore + maxTokens, proceed)
+        else this._ending.end(started, this._ending.unknown(started, Reason.BudgetExceeded, 'the budget does not cover another attempt'))
+      },
+      onDone: outcome => this._finishModel(started, model, outcome)
+    })
+    running.cancel = reason => {
+      job.dispose()
+      program.sentStep = request.step
+      program.carriedTokens += reservation.promptTokens + reservation.maxTokens + chargedBefore
+      this._ending.end(started, this._ending.unknown(started, Reason.Cancelled, `the step was stopped: ${reason}`))
+    }
+  }
+
+  private _cancelBeforeDispatch (started: StartedStep, reason: string): void {
+    this._ending.end(started, this._ending.notRun(started, Reason.Cancelled, `the step was stopped: ${reason}`))
+  }
+
+  private _handleChunk (running: RunningStep, text: string, tokens: number): void {
+    running.text += text
+    running.tokens += tokens
+    for (const [requestId, listener] of running.listeners) {
+      if (listener.isStreamed) this._callers.reply(requestId, { type: 'chunk', text, tokens })
+    }
+  }
+
+  private _finishModel (started: StartedStep, model: string, outcome: ModelOutcome): void {
+    const { program, reservation } = started
+    if (outcome.type === 'done') {
+      setCachedWorker(program.state, model, outcome.worker)
+      this._ending.complete(started, outcome.result, reservation.promptTokens + outcome.chargedTokens, { model, worker: outcome.worker })
+    } else if (outcome.type === 'notRun') {
+      this._ending.end(started, this._ending.notRun(started, outcome.reason, outcome.detail, outcome.retryAfterMs))
+    } else {
+      program.sentStep = started.request.step
+      program.carriedTokens += reservation.promptTokens + outcome.chargedTokens
+      this._ending.end(started, this._ending.unknown(started, outcome.reason, outcome.detail, outcome.retryAfterMs))
+    }
+  }
+
+  /** Makes sure that the log covers what the step may use, so that a takeover never undercounts. */
+  private _reserveDurably (started: StartedStep, neededTokens: number, proceed: () => void): void {
+    const { program } = started
+    const needed = neededTokens + program.carriedTokens
+    if (program.state.reservedTokens >= needed) {
+      proceed()
+      return
+    }
+    appendWithin({
+      journal: program.journal,
+      timers: this._timers,
+      record: { type: 'tokensReserved', programId: program.state.programId, tokens: needed },
+      waitMs: this._settings.turnDurabilityWaitMs,
+      onSettled: durability => {
+        if (durability === 'fenced') {
+          this._ending.end(started, this._ending.unknown(started, Reason.HomeMoved, 'the program has a new home'))
+          return
+        }
+        if (durability === 'durable') program.state.reservedTokens = needed
+        proceed()
+      }
+    })
+  }
+
+  private _historyTokens (turns: RecordedTurn[]): number {
+    const last = turns.findLast(turn => turn.result.type === 'model')?.result
+    return last?.type === 'model' ? last.promptTokens + last.completionTokens : 0
+  }
+}
--- a/packages/core/src/common/programs/programs.contribution.ts
+++ b/packages/core/src/common/programs/programs.contribution.ts
@@ -6,6 +6,7 @@
 import { IProgramRouting, ProgramRouting } from './programRouting.js'
 import { IProgramTable, ProgramTable } from './programTable.js'
 import { Retention } from './retention.js'
+import { StepEnding } from './stepEnding.js'
 import { IStepRunner, StepRunner } from './stepRunner.js'
 import { ITakeover, Takeover } from './takeover.js'
 
@@ -15,6 +16,7 @@
     container.registerSingleton(IProgramTable, ProgramTable)
     container.registerSingleton(IProgramClosing, ProgramClosing)
     container.registerSingleton(ClaimResolver)
+    container.registerSingleton(StepEnding)
     container.registerSingleton(IStepRunner, StepRunner)
     container.registerSingleton(Takeover)
     container.register(ITakeover, { useToken: Takeover })
--- a/packages/testing/test/common/checkers/brokenParts.test.ts
+++ b/packages/testing/test/common/checkers/brokenParts.test.ts
@@ -10,7 +10,8 @@
 import { Journal, JournalEpoch } from '../../../../core/src/common/journal/journal.js'
 import { ModelDispatch } from '../../../../core/src/common/dispatch/modelDispatch.js'
 import { ProgramTable } from '../../../../core/src/common/programs/programTable.js'
-import { StepRunner } from '../../../../core/src/common/programs/stepRunner.js'
+import { ServiceSteps } from '../../../../core/src/common/programs/serviceSteps.js'
+import { StepEnding } from '../../../../core/src/common/programs/stepEnding.js'
 
 /** Puts a broken method in place for the time of one action. */
 async function withBroken<T> (prototype: object, name: string, broken: (original: (...args: never[]) => unknown) => unknown, action: () => Promise<T>): Promise<T> {
@@ -53,7 +54,7 @@
 
 test('a claim that is skipped is caught', async () => {
   const skip = () => function (this: { _dispatchService: (started: unknown, call: unknown) => void }, started: unknown, call: unknown) { this._dispatchService(started, call) }
-  assert.ok(await withBroken(StepRunner.prototype, '_claim', skip, async () => await isCaught('runs at most once', kills, {}, SLOW_TOOLS)))
+  assert.ok(await withBroken(ServiceSteps.prototype, '_claim', skip, async () => await isCaught('runs at most once', kills, {}, SLOW_TOOLS)))
   assert.ok(await isClean(kills, {}, SLOW_TOOLS))
 })
 
@@ -139,7 +140,7 @@
   const lie = () => function (this: { _notRun: (started: unknown, reason: string, detail: string) => unknown }, started: unknown, reason: string, detail: string) {
     return { type: 'notRun', reason: 'noBackend', detail }
   }
-  assert.ok(await withBroken(StepRunner.prototype, '_unknown', lie, async () => await isCaught('"not run" is true', faults)))
+  assert.ok(await withBroken(StepEnding.prototype, 'unknown', lie, async () => await isCaught('"not run" is true', faults)))
   assert.ok(await isClean(faults))
 })
 
@@ -151,7 +152,7 @@
     held = answer.historyDigest
     return { ...answer, historyDigest: other ?? answer.historyDigest }
   }
-  assert.ok(await withBroken(StepRunner.prototype, '_toAnswer', mix as never, async () => await isCaught('history is whole', () => [])))
+  assert.ok(await withBroken(StepEnding.prototype, 'toAnswer', mix as never, async () => await isCaught('history is whole', () => [])))
 })
 
 test.run()
