--- a/packages/core/src/common/journal/journalReader.ts
+++ b/packages/core/src/common/journal/journalReader.ts
@@ -5,7 +5,8 @@
 import type { NodeRef } from '../kernel/node.js'
 import { createJournalState, foldJournalRecord, type JournalState } from './journalFold.js'
 
-const READ_PAGE_RECORDS = 500
+/** Records folded between two other events, so that the takeover of a long journal does not hold up tokens. */
+const READ_PAGE_RECORDS = 100
 
 /** Reads whole journals. */
 export interface IJournalReader {
--- a/packages/testing/src/common/host/fleet.ts
+++ b/packages/testing/src/common/host/fleet.ts
@@ -1,19 +1,17 @@
 /** A fleet in virtual time: nodes, stand-ins and callers joined by links with delays. A test host, not a network model. */
-import {
-  type BackendEvent, type BackendRequest, type CallerReply, type CallerRequest, type CoreSettings, type Effect, type IDisposable, ILeads,
-  type LogFields, type NodeIdentity, SeededRandom, toDisposable, transferMs, type VmEntry, VmRole, VmState
-} from '@trefoilshunt/core'
+import { type CallerRequest, type CoreSettings, type Effect, ILeads, type LogFields, type NodeIdentity, SeededRandom, VmRole, VmState } from '@trefoilshunt/core'
 import type { ICallerTransport, IClientHost, SendOptions, TransportResult } from '@trefoilshunt/client'
-import { createToolDatabase, LogService, type LogServiceOptions, ModelEngine, type ModelEngineOptions, type ToolDatabase, ToolService, VmList } from '@trefoilshunt/standins'
+import { LogService, type LogServiceOptions, type ModelEngine, type ModelEngineOptions, type ToolDatabase, type ToolService, VmList } from '@trefoilshunt/standins'
 import { settlePromises } from '../../node/settlePromises.js'
 import type { ICallerWorld } from '../workload/programDriver.js'
 import { EventQueue } from './eventQueue.js'
+import { VirtualBackends } from './virtualBackends.js'
+import { VirtualCallers } from './virtualCallers.js'
+import { VirtualLinks } from './virtualLinks.js'
 import { type IEffectRunner, VirtualNode } from './virtualNode.js'
 
 const VM_POLL_MS = 1_000
 const LOG_LATENCY_MS = 2
-const BACKEND_LATENCY_MS = 0.5
-const CONNECT_FAILURE_MS = 1
 /** Time after which a message into a cut link counts as undeliverable. */
 const CUT_TIMEOUT_MS = 1_000
 const HOME_ADDRESS_PORT = 7300
@@ -69,11 +67,6 @@
   untilMs: number
 }
 
-interface OpenForward {
-  origin: VirtualNode
-  requestId: string
-}
-
 export class Fleet implements IEffectRunner, ICallerTransport {
   readonly options: FleetOptions
   readonly events = new EventQueue()
@@ -81,20 +74,18 @@
   readonly log: LogService
   readonly vmList: VmList
   readonly nodes = new Map<string, VirtualNode>()
-  readonly engines = new Map<string, ModelEngine>()
-  readonly services = new Map<string, ToolService>()
-  readonly databases = new Map<string, ToolDatabase>()
+  readonly engines: ReadonlyMap<string, ModelEngine>
+  readonly services: ReadonlyMap<string, ToolService>
+  readonly databases: ReadonlyMap<string, ToolDatabase>
   readonly counters: FleetCounters = { peerMessages: 0, peerBytes: 0, backendCalls: 0, logReads: 0, events: 0 }
   /** Requests that were open when a node ended a planned stop. */
   readonly cutOffByStop: Array<{ node: string, requests: number }> = []
   /** Times at which a machine was paused or cut off, for checkers. */
   readonly disturbances: Disturbance[] = []
-  private readonly _zones = new Map<string, string>()
-  private readonly _cuts = new Set<string>()
-  private readonly _forwards = new Map<string, () => void>()
-  private readonly _replies = new Map<string, (reply: CallerReply) => void>()
+  private readonly _links: VirtualLinks
+  private readonly _backends: VirtualBackends
+  private readonly _callers: VirtualCallers
   private readonly _clientRandom: SeededRandom
-  private _lastRequest = 0
   private _lastIncarnation = 0
   private _hasClientWork = false
 
@@ -105,6 +96,12 @@
     this.log = new LogService(this.options.log, this.events)
     this.vmList = new VmList(this.options.vmListLagMs, this.events)
     this.callerWorld.zones.push(...this.options.zones)
+    this._links = new VirtualLinks(this.options.zoneDelayMs)
+    this._backends = new VirtualBackends(this.events, this._links, this.vmList, this.options.zones)
+    this._callers = new VirtualCallers(this.events, this._links, this.nodes)
+    this.engines = this._backends.engines
+    this.services = this._backends.services
+    this.databases = this._backends.databases
   }
 
   // Building
@@ -130,7 +127,7 @@
     }
     const node = new VirtualNode({ identity, seed: this.random.nextInt(0x7fffffff), settings: this.options.settings, nowMs: () => this.events.nowMs(), runner: this, stopwatch: this.options.stopwatch })
     this.nodes.set(name, node)
-    this._zones.set(name, zone)
+    this._links.place(name, zone)
     this.vmList.put({ name, role: VmRole.Entry, zone, address: identity.address, peerAddress: identity.peerAddress, state: VmState.Live })
     this.events.after(0, () => {
       node.handle({ type: 'vmListed', entries: this.vmList.read() })
@@ -141,38 +138,16 @@
   }
 
   addEngines (model: string, count: number, options: Partial<ModelEngineOptions> = {}): void {
-    const heldBefore = new Map<string, number>()
-    for (let index = 1; index <= count; index++) {
-      const name = `${model}-${index}`
-      this.engines.set(name, new ModelEngine({ name, model, heldBefore, ...options }, this.events))
-      this._listBackend(name, model, VmRole.Engine, index)
-    }
+    this._backends.addEngines(model, count, options)
   }
 
   /** Workers of a pool; each begins with one of the pool's models. */
   addPool (pool: string, models: string[], count: number, options: Partial<ModelEngineOptions> = {}): void {
-    for (let index = 1; index <= count; index++) {
-      const name = `${pool}-${index}`
-      this.engines.set(name, new ModelEngine({ name, model: models[index % models.length], ...options }, this.events))
-      this._listBackend(name, pool, VmRole.Engine, index)
-    }
+    this._backends.addPool(pool, models, count, options)
   }
 
   addServices (service: string, count: number, options: { latencyMs?: number, checksIdempotencyKeys?: boolean } = {}): void {
-    const database = createToolDatabase()
-    this.databases.set(service, database)
-    for (let index = 1; index <= count; index++) {
-      const name = `${service}-${index}`
-      this.services.set(name, new ToolService({ name, ...options }, database, this.events))
-      this._listBackend(name, service, VmRole.Service, index)
-    }
-  }
-
-  private _listBackend (name: string, backend: string, role: VmRole, index: number): void {
-    const zone = this.options.zones[index % this.options.zones.length]
-    this._zones.set(name, zone)
-    const entry: VmEntry = { name, role, zone, address: name, backend, state: VmState.Live }
-    this.vmList.put(entry)
+    this._backends.addServices(service, count, options)
   }
 
   private _pollVmList (node: VirtualNode): void {
@@ -249,15 +224,11 @@
 
   /** Cuts the link between two machines, both ways; a machine may be named by its zone. */
   cut (left: string, right: string): void {
-    this._cuts.add(linkKey(left, right))
+    this._links.cut(left, right)
   }
 
   heal (left: string, right: string): void {
-    this._cuts.delete(linkKey(left, right))
-  }
-
-  healAll (): void {
-    this._cuts.clear()
+    this._links.heal(left, right)
   }
 
   /** Notes a disturbance that begins now. */
@@ -267,7 +238,7 @@
   }
 
   zoneOf (machine: string): string {
-    return this._zones.get(machine) ?? ''
+    return this._links.zoneOf(machine)
   }
 
   /** Steps that wait in the queues of all leads. */
@@ -289,16 +260,6 @@
     return [...this.nodes.values()].filter(node => node.isAlive)
   }
 
-  private _isCut (left: string, right: string): boolean {
-    if (this._cuts.size === 0) return false
-    const ends = (machine: string) => [machine, this.zoneOf(machine)]
-    return ends(left).some(first => ends(right).some(second => this._cuts.has(linkKey(first, second))))
-  }
-
-  private _delay (left: string, right: string): number {
-    return this.zoneOf(left) === this.zoneOf(right) ? this.options.zoneDelayMs / 5 : this.options.zoneDelayMs
-  }
-
   // Effects of nodes
 
   run (node: VirtualNode, effect: Effect): void {
@@ -311,16 +272,16 @@
       case 'appendLog': return this._appendLog(node, effect)
       case 'readLog': return this._readLog(node, effect)
       case 'sendPeer': return this._sendPeer(node, effect)
-      case 'callBackend': return this._callBackend(node, effect)
+      case 'callBackend':
+        this.counters.backendCalls++
+        return this._backends.call(node, effect)
       case 'cancelBackend':
         node.calls.get(effect.callId)?.dispose()
         node.calls.delete(effect.callId)
         return
-      case 'reply': return this._reply(effect.requestId, effect.reply)
-      case 'forward': return this._forward(node, effect)
-      case 'cancelForward':
-        this._forwards.get(`${node.identity.node}/${effect.requestId}`)?.()
-        return
+      case 'reply': return this._callers.reply(effect.requestId, effect.reply)
+      case 'forward': return this._callers.forward(node, effect)
+      case 'cancelForward': return this._callers.cancelForward(node, effect.requestId)
       case 'log':
         this.options.onLog?.(node.identity.node, effect.event, effect.fields, this.events.nowMs())
         return
@@ -340,7 +301,7 @@
 
   private _appendLog (node: VirtualNode, effect: Extract<Effect, { type: 'appendLog' }>): void {
     this.events.after(LOG_LATENCY_MS / 2 + this.log.delayMs, () => {
-      const outcome = this._isCut(node.identity.node, 'log') ? { type: 'ambiguous', detail: 'cut off' } as const : this.log.append(effect.stream, effect.records)
+      const outcome = this._links.isCut(node.identity.node, 'log') ? { type: 'ambiguous', detail: 'cut off' } as const : this.log.append(effect.stream, effect.records)
       this.events.after(LOG_LATENCY_MS / 2, () => node.handle({ type: 'logAppended', operationId: effect.operationId, outcome }))
     })
   }
@@ -348,7 +309,7 @@
   private _readLog (node: VirtualNode, effect: Extract<Effect, { type: 'readLog' }>): void {
     this.counters.logReads++
     this.events.after(LOG_LATENCY_MS / 2 + this.log.delayMs, () => {
-      const outcome = this._isCut(node.identity.node, 'log') ? { type: 'failed', detail: 'cut off' } as const : this.log.read(effect.stream, effect.fromOffset, effect.limit)
+      const outcome = this._links.isCut(node.identity.node, 'log') ? { type: 'failed', detail: 'cut off' } as const : this.log.read(effect.stream, effect.fromOffset, effect.limit)
       this.events.after(LOG_LATENCY_MS / 2, () => node.handle({ type: 'logRead', operationId: effect.operationId, outcome }))
     })
   }
@@ -357,8 +318,8 @@
     this.counters.peerMessages++
     if (this.options.countsBytes === true) this.counters.peerBytes += JSON.stringify(effect.envelope).length
     const from = node.identity.node
-    const isCut = this._isCut(from, effect.node)
-    this.events.after(isCut ? CUT_TIMEOUT_MS : this._delay(from, effect.node), () => {
+    const isCut = this._links.isCut(from, effect.node)
+    this.events.after(isCut ? CUT_TIMEOUT_MS : this._links.delayMs(from, effect.node), () => {
       const target = this.nodes.get(effect.node)
       const isReachable = !isCut && target !== undefined && target.isAlive
       if (isReachable) target.handle({ type: 'peerMessage', envelope: effect.envelope })
@@ -366,84 +327,12 @@
     })
   }
 
-  // Back ends
-
-  private _callBackend (node: VirtualNode, effect: Extract<Effect, { type: 'callBackend' }>): void {
-    const { callId, worker, request, timeoutMs } = effect
-    this.counters.backendCalls++
-    let call: IDisposable | undefined
-    let isOver = false
-    const finish = (event: BackendEvent) => {
-      if (isOver) return
-      if (event.type !== 'chunk') {
-        isOver = true
-        timeout.dispose()
-        node.calls.delete(callId)
-      }
-      this.events.after(BACKEND_LATENCY_MS, () => node.handle({ type: 'backendEvent', callId, event }))
-    }
-    const timeout = this.events.after(Math.min(timeoutMs, 600_000), () => {
-      call?.dispose()
-      finish({ type: 'failed', isUntouched: false, isConnectionLost: false, isLeaving: false, detail: 'timed out' })
-    })
-    const isCut = this._isCut(node.identity.node, worker)
-    this.events.after(BACKEND_LATENCY_MS, () => {
-      if (isOver) return
-      if (isCut) finish({ type: 'failed', isUntouched: true, isConnectionLost: false, isLeaving: false, detail: 'no route' })
-      else call = this._dispatch(worker, request, finish)
-    })
-    node.calls.set(callId, toDisposable(() => {
-      isOver = true
-      timeout.dispose()
-      call?.dispose()
-    }))
-  }
-
-  private _dispatch (worker: string, request: BackendRequest, listener: (event: BackendEvent) => void): IDisposable | undefined {
-    const engine = this.engines.get(worker)
-    const service = this.services.get(worker)
-    if (request.type === 'model' && engine !== undefined) return engine.call(request, listener)
-    if (request.type === 'service' && service !== undefined) return service.call(request, listener)
-    if (request.type === 'lookup' && service !== undefined) {
-      const result = service.isDown ? undefined : service.lookup(request.idempotencyKey)
-      listener(result === undefined ? backendFailure('unknown key') : { type: 'serviceDone', result })
-    } else if (engine === undefined || engine.isDown) {
-      listener(backendFailure('connection refused'))
-    } else if (request.type === 'status') {
-      listener({ type: 'status', status: engine.status() })
-    } else if (request.type === 'release') {
-      engine.release(request.session)
-      listener({ type: 'ok' })
-    } else if (request.type === 'transfer') {
-      this._transfer(engine, request.session, request.fromAddress, listener)
-    } else if (request.type === 'load') {
-      listener(engine.load(request.model, request.fencingNumber) ? { type: 'ok' } : backendFailure('the fencing number is old'))
-    } else {
-      listener(backendFailure('not supported'))
-    }
-    return undefined
-  }
-
-  /** Copies a program's cache between engines; it takes time in proportion to its size. */
-  private _transfer (target: ModelEngine, session: string, from: string, listener: (event: BackendEvent) => void): void {
-    const source = this.engines.get(from)
-    const tokens = source === undefined || source.isDown ? 0 : source.exportCache(session)
-    if (tokens === 0) {
-      listener(backendFailure('nothing to move'))
-      return
-    }
-    this.events.after(transferMs(tokens), () => {
-      target.importCache(session, tokens)
-      listener({ type: 'ok' })
-    })
-  }
-
   // Callers
 
   /** Sends a caller's request to a node by its address. */
   async send (address: string, request: CallerRequest, options: SendOptions): Promise<TransportResult> {
     return await new Promise(resolve => {
-      const abort = this._deliver(address, request, 0, this.options.callerDelayMs, options.timeoutMs, reply => {
+      const abort = this._callers.deliver(address, request, 0, this.options.callerDelayMs, options.timeoutMs, reply => {
         if (reply.type === 'chunk') {
           options.onChunk?.(reply.text, reply.tokens)
           return
@@ -457,80 +346,4 @@
       options.onAbort?.(abort)
     })
   }
-
-  private _deliver (address: string, request: CallerRequest, hops: number, delayMs: number, timeoutMs: number, onReply: (reply: CallerReply) => void, onFailure: (wasSent: boolean, detail: string) => void): () => void {
-    const requestId = `q${++this._lastRequest}`
-    const name = address.slice(0, address.lastIndexOf(':'))
-    let isOver = false
-    const end = () => {
-      isOver = true
-      timeout.dispose()
-      this._replies.delete(requestId)
-      this.nodes.get(name)?.connections.delete(requestId)
-    }
-    const fail = (wasSent: boolean, detail: string) => {
-      if (isOver) return
-      end()
-      onFailure(wasSent, detail)
-    }
-    const abort = (detail: string) => {
-      this.nodes.get(name)?.handle({ type: 'callerGone', requestId })
-      fail(true, detail)
-    }
-    const timeout = this.events.after(timeoutMs, () => abort('timed out'))
-    this.events.after(delayMs, () => {
-      const node = this.nodes.get(name)
-      if (isOver) return
-      if (node === undefined || !node.isAlive) {
-        this.events.after(CONNECT_FAILURE_MS, () => fail(false, `${name} refused the connection`))
-        return
-      }
-      node.connections.set(requestId, () => this.events.after(delayMs, () => fail(true, `the connection to ${name} broke`)))
-      this._replies.set(requestId, reply => {
-        this.events.after(delayMs, () => {
-          if (isOver) return
-          if (reply.type !== 'chunk') end()
-          onReply(reply)
-        })
-        if (reply.type !== 'chunk') node.connections.delete(requestId)
-      })
-      node.handle({ type: 'callerRequest', requestId, request, hops })
-    })
-    return () => abort('given up')
-  }
-
-  private _reply (requestId: string, reply: CallerReply): void {
-    this._replies.get(requestId)?.(reply)
-  }
-
-  private _forward (node: VirtualNode, effect: Extract<Effect, { type: 'forward' }>): void {
-    const { to, request, requestId, hops } = effect
-    const forward: OpenForward = { origin: node, requestId }
-    const delayMs = this._delay(node.identity.node, to.node)
-    if (this._isCut(node.identity.node, to.node)) {
-      this.events.after(CUT_TIMEOUT_MS, () => node.handle({ type: 'forwardFailed', requestId, wasSent: false }))
-      return
-    }
-    const timeoutMs = request.type === 'step' ? request.timeoutMs + 1_000 : 10_000
-    const key = `${node.identity.node}/${requestId}`
-    const settle = () => this._forwards.delete(key)
-    const abort = this._deliver(to.address, request, hops, delayMs, timeoutMs,
-      reply => {
-        if (reply.type !== 'chunk') settle()
-        forward.origin.handle({ type: 'forwardReply', requestId: forward.requestId, reply })
-      },
-      wasSent => {
-        settle()
-        forward.origin.handle({ type: 'forwardFailed', requestId: forward.requestId, wasSent })
-      })
-    this._forwards.set(key, abort)
-  }
-}
-
-function backendFailure (detail: string): BackendEvent {
-  return { type: 'failed', isUntouched: true, isConnectionLost: false, isLeaving: false, detail }
-}
-
-function linkKey (left: string, right: string): string {
-  return left < right ? `${left}|${right}` : `${right}|${left}`
 }
