Damaged log records are skipped, logged and audited

Cause: a record of a known type with missing fields made the fold throw and would have stopped every node. Change: records of both kinds of streams are checked by schema before they are folded; the control stream's audit trail names what was skipped. An early SIGTERM of a daemon ends it with code 0.

--- a/packages/core/src/common/configuration/configuration.ts
+++ b/packages/core/src/common/configuration/configuration.ts
@@ -15,7 +15,8 @@
 import type { ConfigurationCopy } from '../peers/messages.js'
 import { IPeers } from '../peers/peers.js'
 import { CONTROL_STREAM, type AuditEntry, type ControlRecord, type ControlState, type EnvironmentState } from './controlRecords.js'
-import { createControlState, findEnvironment, foldControlRecord, foldTruncatedLog } from './controlFold.js'
+import { isControlRecord } from './controlSchema.js'
+import { createControlState, findEnvironment, foldControlRecord, foldTruncatedLog, noteSkippedRecord } from './controlFold.js'
 import { type Backend, type ConfigurationDocument, type Customer, parseDocument, type WorkKind } from './document.js'
 
 const READ_PAGE_RECORDS = 500
@@ -213,8 +214,7 @@
 
   private _fold (stored: StoredRecord<ControlRecord>): void {
     if (!isControlRecord(stored.record)) {
-      this._logger.warn('controlRecordSkipped', { offset: stored.offset })
-      this._state.nextOffset = stored.offset + 1
+      this._skip(stored)
       return
     }
     if (this._truncated !== undefined) {
@@ -231,6 +231,13 @@
     this._didFold.fire(stored)
   }
 
+  /** Notes a damaged record in the log and the audit trail, and goes on behind it. */
+  private _skip (stored: StoredRecord): void {
+    if (stored.offset < this._state.nextOffset) return
+    this._logger.warn('controlRecordSkipped', { offset: stored.offset })
+    noteSkippedRecord(this._state, stored.offset, this._clock.nowMs())
+  }
+
   /** Rebuilds the state when older records had expired before this node read them. */
   private _foldTruncated (): void {
     const records = this._truncated
@@ -313,9 +320,3 @@
     this.publish({ type: 'controlSnapshot', state, by: this._identity.node, atMs: nowMs }, SNAPSHOT_TIMEOUT_MS, () => {})
   }
 }
-
-function isControlRecord (record: unknown): record is ControlRecord {
-  if (typeof record !== 'object' || record === null) return false
-  const { id, type, atMs } = record as Partial<ControlRecord>
-  return typeof id === 'string' && typeof type === 'string' && typeof atMs === 'number'
-}
--- a/packages/core/src/common/configuration/controlFold.ts
+++ b/packages/core/src/common/configuration/controlFold.ts
@@ -43,6 +43,12 @@
   return state
 }
 
+/** Passes over a damaged record, and says so in the audit trail. */
+export function noteSkippedRecord (state: ControlState, offset: number, atMs: number): void {
+  state.nextOffset = offset + 1
+  keepLast(state.audit, { offset, atMs, action: 'recordSkipped', by: '', subject: 'control', outcome: 'noted', detail: 'the record is damaged or of an unknown type' }, AUDIT_ENTRIES_KEPT)
+}
+
 /** The configuration of an environment, or undefined before its first revision. */
 export function findEnvironment (state: ControlState, environment: string): EnvironmentState | undefined {
   return state.environments.find(candidate => candidate.environment === environment)
--- a/packages/core/src/common/journal/journal.ts
+++ b/packages/core/src/common/journal/journal.ts
@@ -11,6 +11,7 @@
 import { ITimers } from '../kernel/timers.js'
 import { IMembership } from '../membership/membership.js'
 import { type JournalRecord, journalOf } from './journalRecords.js'
+import { isJournalRecord } from './journalSchema.js'
 import { type PendingAppend, StreamWriter } from './streamWriter.js'
 
 type WithoutId<T> = T extends unknown ? Omit<T, 'id'> : never
@@ -95,8 +96,7 @@
   }
 
   private _handleForeign (stored: StoredRecord): void {
-    const record = stored.record as JournalRecord
-    if (record.type === 'fenced') this._setFenced(record.by)
+    if (isJournalRecord(stored.record) && stored.record.type === 'fenced') this._setFenced(stored.record.by)
   }
 
   private _setFenced (by: NodeRef | undefined): void {
--- a/packages/core/src/common/journal/journalReader.ts
+++ b/packages/core/src/common/journal/journalReader.ts
@@ -1,9 +1,11 @@
 /** Reads the journals of other runs of the daemon. */
 import { inject, injectable } from 'tsyringe'
-import type { LogRecord, StoredRecord } from '../kernel/events.js'
+import { ILogger } from '../kernel/effectQueue.js'
 import { ILogService } from '../kernel/logPort.js'
 import type { NodeRef } from '../kernel/node.js'
+import type { StoredRecord } from '../kernel/events.js'
 import { createJournalState, foldJournalRecord, type JournalState } from './journalFold.js'
+import { isJournalRecord } from './journalSchema.js'
 
 /** Records folded between two other events, so that the takeover of a long journal does not hold up tokens. */
 const READ_PAGE_RECORDS = 100
@@ -17,7 +19,10 @@
 
 @injectable()
 export class JournalReader implements IJournalReader {
-  constructor (@inject(ILogService) private readonly _log: ILogService) {}
+  constructor (
+    @inject(ILogService) private readonly _log: ILogService,
+    @inject(ILogger) private readonly _logger: ILogger
+  ) {}
 
   readJournal (stream: string, onRead: (state: JournalState | undefined) => void, state: JournalState = createJournalState()): void {
     this._log.read(stream, state.nextOffset, READ_PAGE_RECORDS, outcome => {
@@ -29,21 +34,28 @@
         state.nextOffset = outcome.firstOffset
         state.firstOffset = outcome.firstOffset
       }
-      for (const stored of outcome.records) foldIfValid(state, stored)
+      for (const stored of outcome.records) {
+        const isFolded = foldIfWhole(state, stored)
+        if (!isFolded) this._logger.warn('journalRecordSkipped', { journal: stream, offset: stored.offset })
+      }
       if (outcome.records.length > 0 && state.nextOffset < outcome.endOffset) this.readJournal(stream, onRead, state)
       else onRead(state)
     })
   }
 }
 
-/** Skips what is no record: a damaged entry must not stop a takeover. */
-function foldIfValid (state: JournalState, stored: StoredRecord<LogRecord>): void {
-  const record = stored.record as Partial<LogRecord> | null
-  if (typeof record?.id !== 'string' || typeof record.type !== 'string') {
-    state.nextOffset = stored.offset + 1
-    return
+/**
+ * Folds a record unless it is damaged: one bad entry must not stop a takeover.
+ *
+ * @returns false when the record was skipped.
+ */
+export function foldIfWhole (state: JournalState, stored: StoredRecord): boolean {
+  if (!isJournalRecord(stored.record)) {
+    state.nextOffset = Math.max(state.nextOffset, stored.offset + 1)
+    return false
   }
   foldJournalRecord(state, stored)
+  return true
 }
 
 /** The node that a journal names as a program's new home, if it names one. */
--- /dev/null
+++ b/packages/core/src/common/journal/journalSchema.ts
@@ -0,0 +1,54 @@
+/** Checks records read from journals: a damaged one is skipped, never folded. */
+import { z } from 'zod'
+import type { LogRecord } from '../kernel/events.js'
+import type { JournalRecord } from './journalRecords.js'
+
+const nodeRef = z.object({ node: z.string(), incarnation: z.string(), address: z.string() })
+const call = z.discriminatedUnion('type', [
+  z.looseObject({ type: z.literal('model'), messages: z.array(z.object({ role: z.string(), content: z.string() })), maxTokens: z.number() }),
+  z.looseObject({ type: z.literal('service'), service: z.string(), path: z.string(), isRepeatable: z.boolean() })
+])
+const result = z.discriminatedUnion('type', [
+  z.looseObject({ type: z.literal('model'), text: z.string(), promptTokens: z.number(), completionTokens: z.number(), cachedTokens: z.number() }),
+  z.looseObject({ type: z.literal('service'), status: z.number() }),
+  z.looseObject({ type: z.literal('unknown') })
+])
+const turn = z.looseObject({ step: z.int().positive(), key: z.string(), call, callDigest: z.string(), result, historyDigest: z.string() })
+const program = z.looseObject({
+  programId: z.string(),
+  customer: z.string(),
+  kind: z.string(),
+  rank: z.string(),
+  root: z.string(),
+  depth: z.number(),
+  budget: z.object({ tokens: z.number(), steps: z.number(), toolCalls: z.number(), wallTimeMs: z.number(), depth: z.number() }),
+  openedAtMs: z.number(),
+  dueAtMs: z.number(),
+  turns: z.array(turn),
+  spent: z.object({ tokens: z.number(), steps: z.number(), toolCalls: z.number() }),
+  reservedTokens: z.number(),
+  workers: z.array(z.object({ model: z.string(), worker: z.string() }))
+})
+const base = { id: z.string() }
+const step = { programId: z.string(), step: z.int().positive() }
+
+const journalRecordSchema = z.discriminatedUnion('type', [
+  z.looseObject({ ...base, type: z.literal('programSnapshot'), program }),
+  z.looseObject({ ...base, ...step, type: z.literal('turnCompleted'), key: z.string(), call, callDigest: z.string(), result, spentTokens: z.number(), reservedTokens: z.number() }),
+  z.looseObject({ ...base, ...step, type: z.literal('stepClaimed'), key: z.string(), call, callDigest: z.string(), attempt: z.number() }),
+  z.looseObject({ ...base, ...step, type: z.literal('claimWithdrawn'), attempt: z.number() }),
+  z.looseObject({ ...base, type: z.literal('tokensReserved'), programId: z.string(), tokens: z.number() }),
+  z.looseObject({ ...base, type: z.literal('programClosed'), programId: z.string(), reason: z.string() }),
+  z.looseObject({ ...base, type: z.literal('fenced'), by: nodeRef }),
+  z.looseObject({ ...base, type: z.literal('adopted'), programIds: z.array(z.string()), to: nodeRef })
+])
+
+/**
+ * True for a whole record of a known type.
+ *
+ * @example
+ * isJournalRecord({ id: 'x', type: 'fenced' }) // false: it does not say by whom
+ */
+export function isJournalRecord (record: unknown): record is JournalRecord & LogRecord {
+  return journalRecordSchema.safeParse(record).success
+}
--- a/packages/core/src/common/journal/streamWriter.ts
+++ b/packages/core/src/common/journal/streamWriter.ts
@@ -208,7 +208,7 @@
   private _handleStored (stored: StoredRecord): void {
     if (stored.offset < this._nextOffset) return
     this._nextOffset = stored.offset + 1
-    const index = this._batch.findIndex(queued => queued.record.id === stored.record.id)
+    const index = this._batch.findIndex(queued => queued.record.id === (stored.record as Partial<LogRecord> | null)?.id)
     if (index >= 0) {
       const [queued] = this._batch.splice(index, 1)
       this._settle(queued, stored.offset)
--- a/packages/node/bin/trefoilshuntd.js
+++ b/packages/node/bin/trefoilshuntd.js
@@ -1,4 +1,11 @@
 #!/usr/bin/env node
-import { main } from '../dist/node/main.js'
+// A stop that arrives while the modules are still loaded ends the process as a planned stop with nothing to do.
+const stopEarly = () => process.exit(0)
+process.on('SIGTERM', stopEarly)
+process.on('SIGINT', stopEarly)
 
-await main(process.argv)
+const { main } = await import('../dist/node/main.js')
+await main(process.argv, () => {
+  process.off('SIGTERM', stopEarly)
+  process.off('SIGINT', stopEarly)
+})
--- a/packages/node/src/node/main.ts
+++ b/packages/node/src/node/main.ts
@@ -11,8 +11,8 @@
 const EXIT_FAILED = 1
 const MIN_SECRET_CHARACTERS = 16
 
-/** Runs the daemon until it is told to stop. */
-export async function main (argv: string[]): Promise<void> {
+/** Runs the daemon until it is told to stop; `onHandled` is called once it takes signals itself. */
+export async function main (argv: string[], onHandled: () => void = () => {}): Promise<void> {
   const options = await yargs(hideBin(argv))
     .scriptName('trefoilshuntd')
     .usage('Usage: $0 --settings FILE\n\nRuns one node of trefoilshunt.')
@@ -30,7 +30,7 @@
     process.stdout.write('the settings are valid\n')
     return
   }
-  await run(settings.extract() as Settings)
+  await run(settings.extract() as Settings, onHandled)
 }
 
 /** Reads and checks a settings file; the problems name file, line and column. */
@@ -55,7 +55,7 @@
   }
 }
 
-async function run (settings: Settings): Promise<void> {
+async function run (settings: Settings, onHandled: () => void): Promise<void> {
   const secret = loadPeerSecret(settings)
   if (secret.isLeft()) {
     fail(secret.extract(), EXIT_USAGE)
@@ -63,6 +63,7 @@
   }
   const daemon = new Daemon({ settings, peerSecret: secret.extract(), onExit: () => process.exit(0) })
   for (const signal of ['SIGTERM', 'SIGINT'] as const) process.on(signal, () => daemon.stop())
+  onHandled()
   try {
     await daemon.start()
   } catch (error) {
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -12,17 +12,20 @@
 const NODES_PER_ZONE = 2
 const DEFAULT_SECONDS = 150
 const MAX_SECONDS = 900
-const MEAN_FAULT_GAP_MS = 600
-const MEAN_ARRIVAL_MS = 350
+const MEAN_FAULT_GAP_MS = 450
+const MEAN_ARRIVAL_MS = 1_000
 const STEP_TIMEOUT_MS = 60_000
 const FREEZE_MS = 3_500
 const LOG_OUTAGE_MS = 4_000
-const MAX_DOWN_NODES = 2
+const MAX_DOWN_NODES = 3
 const TARGETS = { fitting: { targetMs: 60_000, rank: 'urgent' }, 'follow-up': { targetMs: 180_000, rank: 'other' } }
 
 type FaultName = 'kill' | 'freeze' | 'stop' | 'dropEngineConnections' | 'crashEngine' | 'loseToolAnswer' | 'logOutage' | 'loseAppendAnswer'
 const PROCESS_FAULTS: ReadonlySet<FaultName> = new Set(['kill', 'freeze', 'stop'])
-const FAULT_DECK: FaultName[] = ['kill', 'kill', 'freeze', 'freeze', 'stop', 'stop', 'kill', 'freeze', 'stop', 'dropEngineConnections', 'crashEngine', 'loseToolAnswer', 'logOutage', 'loseAppendAnswer']
+const FAULT_DECK: FaultName[] = [
+  'kill', 'kill', 'kill', 'kill', 'kill', 'freeze', 'freeze', 'freeze', 'freeze', 'stop', 'stop', 'stop', 'stop', 'stop',
+  'dropEngineConnections', 'crashEngine', 'loseToolAnswer', 'logOutage', 'loseAppendAnswer', 'loseAppendAnswer'
+]
 
 async function main (): Promise<void> {
   const seconds = Math.min(MAX_SECONDS, Number(process.argv[2] ?? DEFAULT_SECONDS))
