--- a/packages/node/src/node/daemon.ts
+++ b/packages/node/src/node/daemon.ts
@@ -15,6 +15,8 @@
 const INCARNATION_LENGTH = 9
 const RADIX = 36
 const NANOSECONDS_PER_MS = 1e6
+/** Time for which a stopping node waits for slow readers of its last answers. */
+const LAST_BYTES_MS = 3_000
 
 export interface DaemonOptions {
   settings: Settings
@@ -117,6 +119,11 @@
     await Promise.all([closeServer(this._callerServer), closeServer(this._peerServer), this._platform.close(), this._backends.close(), this._peers.close()])
   }
 
+  /** Lets the last bytes of answers reach their callers before the connections are closed. */
+  private async _finishResponses (): Promise<void> {
+    await Promise.all([endServer(this._callerServer), endServer(this._peerServer)])
+  }
+
   private _startKernel (): void {
     const { node, availabilityZone, environment, core } = this._settings
     const identity: NodeIdentity = {
@@ -182,7 +189,7 @@
         return
       case 'log': return this._log.write(effect.level, effect.event, { node: this._settings.node, ...effect.fields })
       case 'exit':
-        void this.close().then(() => this._options.onExit?.())
+        void this._finishResponses().then(async () => await this.close()).then(() => this._options.onExit?.())
     }
   }
 
@@ -279,6 +286,19 @@
   })
 }
 
+/** Takes no new connection and waits for the open requests, for a while. */
+async function endServer (server: Server | undefined): Promise<void> {
+  if (server === undefined) return
+  await new Promise<void>(resolve => {
+    const timer = setTimeout(resolve, LAST_BYTES_MS)
+    server.close(() => {
+      clearTimeout(timer)
+      resolve()
+    })
+    server.closeIdleConnections()
+  })
+}
+
 async function closeServer (server: Server | undefined): Promise<void> {
   if (server === undefined) return
   await new Promise<void>(resolve => {
--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -9,7 +9,7 @@
 import { HARROW_DOCUMENT } from '@trefoilshunt/testing'
 import { Client, realClientHost, type ProgramSession } from '@trefoilshunt/client'
 import { toPrompt } from '@trefoilshunt/standins'
-import { ENGINE_PATHS } from '@trefoilshunt/protocol'
+import { ENGINE_PATHS, EventStreamReader } from '@trefoilshunt/protocol'
 import { addressOf, SoakFleet, type SoakNode } from './soakFleet.js'
 
 const LATENCY_CALLS = 150
@@ -32,7 +32,10 @@
     const two = await measureHops(fleet, 'other')
     lines.push(`round ${round}: direct p50 ${ms(direct.p50)} p99 ${ms(direct.p99)}, one hop p50 ${ms(one.p50)} (${ratio(one.p50, direct.p50)}) p99 ${ms(one.p99)} (${ratio(one.p99, direct.p99)}), two hops p50 ${ms(two.p50)} (${ratio(two.p50, direct.p50)}) p99 ${ms(two.p99)} (${ratio(two.p99, direct.p99)})`)
   }
-  for (const streams of STREAMS) lines.push(await measureStreams(fleet, streams))
+  for (const streams of STREAMS) {
+    lines.push(await measureDirectStreams(fleet, streams))
+    lines.push(await measureStreams(fleet, streams))
+  }
   lines.push(await measureRequests(fleet))
   await fleet.close()
   process.stdout.write(`${lines.join('\n')}\n`)
@@ -61,6 +64,30 @@
   })
 }
 
+/** The same streams straight at the engines, to tell what the nodes add. */
+async function measureDirectStreams (fleet: SoakFleet, streams: number): Promise<string> {
+  const gaps = hdr.build({ numberOfSignificantValueDigits: 3 })
+  const startedMs = performance.now()
+  await Promise.all(Array.from({ length: streams }, async (_, index) => {
+    const address = fleet.engines[index % fleet.engines.length].server.address
+    const body = { model: 'tailor-models', messages: [{ role: 'user', content: toPrompt(`direct stream ${index}`, STREAM_TOKENS) }], max_tokens: STREAM_TOKENS, stream: true, priority: 0, cache: { session: `direct-stream-${index}`, retain_ms: 0 } }
+    const response = await request(`http://${address}${ENGINE_PATHS.completions}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) })
+    const reader = new EventStreamReader()
+    const decoder = new TextDecoder()
+    let lastMs = performance.now()
+    for await (const bytes of response.body) {
+      for (const event of reader.push(decoder.decode(bytes as Uint8Array, { stream: true }))) {
+        if (!event.data.includes('"content"')) continue
+        const nowMs = performance.now()
+        gaps.recordValue(Math.round((nowMs - lastMs) * 1_000))
+        lastMs = nowMs
+      }
+    }
+  }))
+  const seconds = (performance.now() - startedMs) / 1_000
+  return `${streams} streams direct: ${Math.round(streams * STREAM_TOKENS / seconds)} tokens/s, gap p50 ${ms(gaps.getValueAtPercentile(50) / 1_000)} p99 ${ms(gaps.getValueAtPercentile(99) / 1_000)}`
+}
+
 /** Many streams at one node: tokens per second and what the node adds to the time between tokens. */
 async function measureStreams (fleet: SoakFleet, streams: number): Promise<string> {
   const client = clientOf(fleet)
