Baselines do not move caches; experiment with 60 engines; soak stops only processes that run

Cause: since caches are moved, the round-robin baseline moved them too and recomputed nothing, so that the bound against it said nothing. Change: a setting turns moves off, and both baselines without affinity use it. A planned stop of the soak waits until the process answers: four of 54 stops hit processes that had not run their first line and ended by the signal itself.

--- a/packages/cli/src/node/experimentCommands.ts
+++ b/packages/cli/src/node/experimentCommands.ts
@@ -19,7 +19,7 @@
 
 /** Runs one experiment or all of them and holds the figures against the bounds. */
 export async function runExperiments (options: ExperimentOptions): Promise<void> {
-  const specs = options.name === 'all' ? EXPERIMENTS : EXPERIMENTS.filter(spec => spec.name === options.name)
+  const specs = options.name === 'all' ? EXPERIMENTS.filter(spec => spec.isLarge !== true) : EXPERIMENTS.filter(spec => spec.name === options.name)
   if (specs.length === 0) return printError(`no experiment "${options.name}"; there are: ${EXPERIMENTS.map(spec => spec.name).join(', ')}, all`, ExitCode.Usage)
   const summaries = []
   let missed = 0
--- a/packages/core/src/common/dispatch/modelDispatch.ts
+++ b/packages/core/src/common/dispatch/modelDispatch.ts
@@ -192,7 +192,7 @@
     const { cachedWorker, promptTokens, programId } = this._job
     const source = cachedWorker === undefined ? undefined : this._services.membership.findListedWorker(cachedWorker)
     const target = this._services.membership.findWorker(worker)
-    const isWorthIt = source !== undefined && target !== undefined && source.worker !== worker &&
+    const isWorthIt = this._services.settings.movesCaches && source !== undefined && target !== undefined && source.worker !== worker &&
       !this._failedWorkers.has(source.worker) && isMoveCheaper(promptTokens)
     if (!isWorthIt) {
       proceed()
--- a/packages/core/src/common/kernel/settings.ts
+++ b/packages/core/src/common/kernel/settings.ts
@@ -44,6 +44,8 @@
   admissionTailFactor: number
   /** Share of the target that may go into queues at the least, whatever a kind needs. */
   admissionMinSlack: number
+  /** Moves a program's cache between engines when it changes its worker. */
+  movesCaches: boolean
   enginePollMs: number
   /** Attempts of a repeatable call, the first included. */
   maxAttempts: number
@@ -87,6 +89,7 @@
   otherTokenGapTargetMs: 34,
   admissionTailFactor: 2.4,
   admissionMinSlack: 0.25,
+  movesCaches: true,
   enginePollMs: 1_000,
   maxAttempts: 3,
   retryBackoffMs: 100,
--- a/packages/testing/src/common/experiments/catalogue.ts
+++ b/packages/testing/src/common/experiments/catalogue.ts
@@ -4,7 +4,7 @@
 import type { ArrivalStream } from './arrivals.js'
 import { cacheBounds, carriedBounds, commonBounds, floorBounds, goodputBounds, lossBounds, poisonBounds, startedBounds, urgentBounds } from './bounds.js'
 import type { BoundResult, ExperimentFigures, ExperimentSpec, FirmSize } from './experiment.js'
-import { HARROW, PLECIONKA } from './firms.js'
+import { HARROW, HARROW_GROWN, PLECIONKA } from './firms.js'
 
 const FLOOD_FACTOR = 5
 const DURATION_MS = 240_000
@@ -34,6 +34,10 @@
 
 const HARROW_STEADY = [steadyStream('fitting', FITTING_SHAPE, FITTING_RATE), steadyStream('follow-up', FOLLOW_UP_SHAPE, FOLLOW_UP_RATE)]
 const PLECIONKA_STEADY = [steadyStream('pattern', PATTERN_SHAPE, PATTERN_RATE), steadyStream('coaching', COACHING_SHAPE, COACHING_RATE)]
+/** Sixty engines in place of eight. */
+const GROWTH = HARROW_GROWN.engines / HARROW.engines
+const GROWN_DURATION_MS = 90_000
+const GROWN_STEADY = [steadyStream('fitting', FITTING_SHAPE, FITTING_RATE * GROWTH), steadyStream('follow-up', FOLLOW_UP_SHAPE, FOLLOW_UP_RATE * GROWTH)]
 const OTHER_FLOOD = floodStream('follow-up flood', FOLLOW_UP_SHAPE, FOLLOW_UP_RATE)
 const URGENT_FLOOD = floodStream('fitting flood', FITTING_SHAPE, FITTING_RATE, FLOOD_FROM_MS, URGENT_FLOOD_UNTIL_MS)
 
@@ -55,6 +59,17 @@
 /** Every experiment, in the order in which `all` runs them. */
 export const EXPERIMENTS: readonly ExperimentSpec[] = [
   create({ name: 'steady', purpose: 'quiet time at Harrow & Lisle', check: [cacheBounds, carriedBounds] }),
+  create({
+    name: 'steady-60-workers',
+    purpose: 'quiet time with 60 engines behind 30 nodes',
+    firm: HARROW_GROWN,
+    isLarge: true,
+    durationMs: GROWN_DURATION_MS,
+    streams: GROWN_STEADY,
+    steadyStreams: GROWN_STEADY,
+    window: { fromMs: 30_000, untilMs: GROWN_DURATION_MS },
+    check: [cacheBounds, carriedBounds]
+  }),
   create({ name: 'steady-plecionka', purpose: 'quiet time at Plecionka', firm: PLECIONKA, check: [cacheBounds, carriedBounds] }),
   create({ name: 'flood-other', purpose: 'five times the other work', streams: [...HARROW_STEADY, OTHER_FLOOD], check: [urgentBounds, startedBounds, cacheBounds] }),
   create({ name: 'flood-urgent', purpose: 'five times the urgent work', durationMs: URGENT_FLOOD_DURATION_MS, window: { fromMs: FLOOD_FROM_MS, untilMs: URGENT_FLOOD_UNTIL_MS }, streams: [...HARROW_STEADY, URGENT_FLOOD], check: [goodputBounds, floorBounds, startedBounds, cacheBounds] }),
--- a/packages/testing/src/common/experiments/experiment.ts
+++ b/packages/testing/src/common/experiments/experiment.ts
@@ -43,6 +43,8 @@
   /** The arrivals without a flood, for the quiet run; `streams` when absent. */
   steadyStreams?: ArrivalStream[]
   faults: Fault[]
+  /** Runs for minutes; left out of a run of all experiments. */
+  isLarge?: boolean
   /** A time that figures look at, such as that of a flood. */
   window: { fromMs: number, untilMs: number }
   /** Holds the figures against their bounds; `steady` is the run without flood and faults. */
--- a/packages/testing/src/common/experiments/firms.ts
+++ b/packages/testing/src/common/experiments/firms.ts
@@ -14,6 +14,9 @@
   callerDelayMs: 1
 }
 
+/** Harrow & Lisle grown to 60 engines behind 30 nodes. */
+export const HARROW_GROWN: FirmSize = { ...HARROW, name: 'harrow-60', zones: { regina: 10, saskatoon: 10, brandon: 10 }, engines: 60, services: 30 }
+
 export const PLECIONKA: FirmSize = {
   name: 'plecionka',
   document: PLECIONKA_DOCUMENT,
--- a/packages/testing/src/common/experiments/policies.ts
+++ b/packages/testing/src/common/experiments/policies.ts
@@ -8,13 +8,13 @@
 /** Workers in turn, first come first served, everything admitted. */
 export const ROUND_ROBIN: Policy = {
   name: 'round-robin',
-  settings: { placementPolicy: PlacementPolicy.RoundRobin, queuePolicy: QueuePolicy.Fifo, admissionPolicy: AdmissionPolicy.None }
+  settings: { placementPolicy: PlacementPolicy.RoundRobin, queuePolicy: QueuePolicy.Fifo, admissionPolicy: AdmissionPolicy.None, movesCaches: false }
 }
 
 /** The least loaded of a sample at every step, wherever the cache is. */
 export const LEAST_LOADED: Policy = {
   name: 'least-loaded',
-  settings: { placementPolicy: PlacementPolicy.LeastLoaded, admissionPolicy: AdmissionPolicy.None }
+  settings: { placementPolicy: PlacementPolicy.LeastLoaded, admissionPolicy: AdmissionPolicy.None, movesCaches: false }
 }
 
 /** Cache affinity and ranks, but every program is admitted. */
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -6,13 +6,13 @@
  */
 import { SeededRandom } from '@trefoilshunt/core'
 import { checkRun, createPlan, FITTING_SHAPE, FOLLOW_UP_SHAPE, HARROW_DOCUMENT, ProgramDriver, RunRecord, type Violation } from '@trefoilshunt/testing'
-import { SoakFleet, type SoakNode } from './soakFleet.js'
+import { isHealthy, SoakFleet, type SoakNode } from './soakFleet.js'
 
 const ZONES = ['regina', 'saskatoon', 'brandon']
 const NODES_PER_ZONE = 2
 const DEFAULT_SECONDS = 150
 const MAX_SECONDS = 900
-const MEAN_FAULT_GAP_MS = 450
+const MEAN_FAULT_GAP_MS = 350
 const MEAN_ARRIVAL_MS = 1_000
 const STEP_TIMEOUT_MS = 60_000
 const FREEZE_MS = 3_500
@@ -110,6 +110,8 @@
 async function stopPlanned (fleet: SoakFleet, node: SoakNode | undefined, violations: Violation[]): Promise<void> {
   if (node === undefined) return
   node.isStopped = true
+  // A process that has not run its first line yet cannot take a signal.
+  for (let waits = 0; !await isHealthy(node) && waits < 100; waits++) await fleet.callerWorld.host.sleep(100)
   node.process.kill('SIGTERM')
   for (let waits = 0; node.ended === undefined && waits < 1_500; waits++) await fleet.callerWorld.host.sleep(100)
   if (node.ended?.code !== 0) violations.push({ rule: 'planned stops end cleanly', detail: `${node.name} ended with ${JSON.stringify(node.ended)}` })
--- a/scripts/soakFleet.ts
+++ b/scripts/soakFleet.ts
@@ -157,7 +157,8 @@
   return `127.0.0.1:${node.callerPort}`
 }
 
-async function isHealthy (node: SoakNode): Promise<boolean> {
+/** True when the node's process answers. */
+export async function isHealthy (node: SoakNode): Promise<boolean> {
   try {
     return (await fetch(`http://${addressOf(node)}/healthz`)).ok
   } catch {
