--- a/packages/core/src/common/engines/modelPools.ts
+++ b/packages/core/src/common/engines/modelPools.ts
@@ -3,7 +3,8 @@
 import { resolveOwner } from '../base/rendezvous.js'
 import { IConfiguration } from '../configuration/configuration.js'
 import type { Backend } from '../configuration/document.js'
-import { IMembership, type WorkerInfo } from '../membership/membership.js'
+import { IMembership } from '../membership/membership.js'
+import type { WorkerInfo } from '../membership/workerDirectory.js'
 
 /** Assigns the workers of pools to models. Every node derives the same from the control stream. */
 export interface IModelPools {
--- a/packages/core/src/common/membership/index.ts
+++ b/packages/core/src/common/membership/index.ts
@@ -1,2 +1,3 @@
 export * from './addressing.js'
 export * from './membership.js'
+export { type WorkerInfo } from './workerDirectory.js'
--- a/packages/core/src/common/membership/membership.ts
+++ b/packages/core/src/common/membership/membership.ts
@@ -10,6 +10,7 @@
 import { ITimers } from '../kernel/timers.js'
 import type { NodeDigest, PeerSender } from '../peers/messages.js'
 import { IPeers } from '../peers/peers.js'
+import { WorkerDirectory, type WorkerInfo } from './workerDirectory.js'
 
 /** What is known of an entry VM. */
 export interface PeerInfo {
@@ -31,14 +32,6 @@
   checkedAtMs: number
 }
 
-/** A backend server that may get new work. */
-export interface WorkerInfo {
-  worker: string
-  backend: string
-  zone: string
-  address: string
-}
-
 /** What a node tells of itself in probes; plug-ins contribute their part. */
 export type DigestSource = () => Pick<NodeDigest, 'revision' | 'controlOffset'>
 
@@ -86,10 +79,7 @@
   private readonly _didSuspect = new Emitter<string>()
   private readonly _didLearnLeaving = new Emitter<void>()
   private readonly _peers = new Map<string, PeerInfo>()
-  private readonly _workers = new Map<string, WorkerInfo>()
-  private readonly _listedWorkers = new Map<string, WorkerInfo>()
-  private readonly _workersByBackend = new Map<string, WorkerInfo[]>()
-  private readonly _leaving = new Set<string>()
+  private readonly _workers = new WorkerDirectory()
   private readonly _self: PeerInfo
   private _live: PeerInfo[] | undefined
   private _digestSource: DigestSource = () => ({ revision: 0, controlOffset: 0 })
@@ -160,21 +150,19 @@
   }
 
   workers (backend: string): WorkerInfo[] {
-    return this._workersByBackend.get(backend) ?? []
+    return this._workers.workers(backend)
   }
 
   findWorker (worker: string): WorkerInfo | undefined {
-    return this._workers.get(worker)
+    return this._workers.find(worker)
   }
 
   findListedWorker (worker: string): WorkerInfo | undefined {
-    return this._listedWorkers.get(worker)
+    return this._workers.findListed(worker)
   }
 
   markLeaving (worker: string): void {
-    if (this._leaving.has(worker)) return
-    this._leaving.add(worker)
-    this._dropWorker(worker)
+    if (!this._workers.markLeaving(worker)) return
     this._logger.info('workerLeaving', { worker })
     this._didChange.fire()
   }
@@ -194,27 +182,12 @@
   }
 
   setVmList (entries: VmEntry[]): void {
-    const listed = new Set(entries.map(entry => entry.name))
-    for (const name of this._leaving) {
-      if (!listed.has(name)) this._leaving.delete(name)
-    }
+    this._workers.setList(entries)
     for (const peer of this._peers.values()) peer.isListed = false
-    this._workers.clear()
-    this._listedWorkers.clear()
-    for (const entry of entries) this._noteListed(entry)
-    this._rebuildWorkers()
-    this._changed()
-  }
-
-  private _noteListed (entry: VmEntry): void {
-    if (entry.role === VmRole.Entry) {
-      this._noteListedPeer(entry)
-      return
+    for (const entry of entries) {
+      if (entry.role === VmRole.Entry) this._noteListedPeer(entry)
     }
-    if (entry.backend === undefined) return
-    const worker = { worker: entry.name, backend: entry.backend, zone: entry.zone, address: entry.address }
-    this._listedWorkers.set(entry.name, worker)
-    if (entry.state !== VmState.Leaving && !this._leaving.has(entry.name)) this._workers.set(entry.name, worker)
+    this._changed()
   }
 
   private _noteListedPeer (entry: VmEntry): void {
@@ -241,20 +214,6 @@
     })
   }
 
-  private _dropWorker (worker: string): void {
-    this._workers.delete(worker)
-    this._rebuildWorkers()
-  }
-
-  private _rebuildWorkers (): void {
-    this._workersByBackend.clear()
-    for (const worker of this._workers.values()) {
-      const list = this._workersByBackend.get(worker.backend) ?? []
-      list.push(worker)
-      this._workersByBackend.set(worker.backend, list)
-    }
-  }
-
   private _isUsable (peer: PeerInfo): boolean {
     return peer.isListed && !peer.isDraining && peer.suspectedSinceMs === undefined
   }
