--- a/packages/core/src/common/kernel/settings.ts
+++ b/packages/core/src/common/kernel/settings.ts
@@ -40,6 +40,8 @@
   tokenGapTargetMs: number
   /** The same for work of the other rank, which must not slow urgent calls beside it. */
   otherTokenGapTargetMs: number
+  /** Time before its target at which a running urgent program holds back work of the other rank on its worker. */
+  urgentAtRiskMs: number
   /** Time that a program is expected to need without queues, relative to its kind's mean: lengths have heavy tails. */
   admissionTailFactor: number
   /** Share of the target that may go into queues at the least, whatever a kind needs. */
@@ -87,6 +89,7 @@
   minConcurrency: 2,
   tokenGapTargetMs: 52,
   otherTokenGapTargetMs: 34,
+  urgentAtRiskMs: 15_000,
   admissionTailFactor: 2.4,
   admissionMinSlack: 0.25,
   movesCaches: true,
--- a/packages/core/src/common/placement/workerQueue.ts
+++ b/packages/core/src/common/placement/workerQueue.ts
@@ -187,7 +187,8 @@
   }
 
   private _bestOf (rank: Rank, nowMs: number): QueueItem | undefined {
-    const isFull = this._inFlight.size >= this.limitOf(rank) && !this._isBelowFloor(rank)
+    const limit = rank === Rank.Other && this._hasUrgentAtRisk(nowMs) ? 0 : this.limitOf(rank)
+    const isFull = this._inFlight.size >= limit && !this._isBelowFloor(rank)
     if (this._waitingByRank[rank] === 0 || isFull) return undefined
     const isLateTurn = !this._hasLateInFlight(rank, nowMs)
     let best: QueueItem | undefined
@@ -201,6 +202,16 @@
     return bestLate ?? best
   }
 
+  /** True while an urgent program that runs here is close to its target: work of the other rank then keeps to its floor. */
+  private _hasUrgentAtRisk (nowMs: number): boolean {
+    const { urgentAtRiskMs } = this._options.settings
+    for (const item of this._inFlight.values()) {
+      const leftMs = item.dueAtMs - nowMs
+      if (item.rank === Rank.Urgent && leftMs > 0 && leftMs < urgentAtRiskMs) return true
+    }
+    return false
+  }
+
   /** One slot goes to programs that have missed their target, so that none of them starves behind those that can meet it. */
   private _hasLateInFlight (rank: Rank, nowMs: number): boolean {
     for (const item of this._inFlight.values()) {
--- a/packages/core/test/common/placement/workerQueue.test.ts
+++ b/packages/core/test/common/placement/workerQueue.test.ts
@@ -110,6 +110,15 @@
   assert.ok(queue.limitOf(Rank.Urgent) < 40)
 })
 
+test('an urgent program close to its target holds back other work on its worker, down to the floor', () => {
+  const queue = createQueue({ urgent: 0, other: 0.25 }, 4)
+  enqueueAll(queue, [item({ dueAtMs: 10_000 }), item({ rank: Rank.Other }), item({ rank: Rank.Other })])
+  assert.is(queue.takeNext(0)?.rank, Rank.Other)
+  assert.is(queue.takeNext(0)?.rank, Rank.Urgent)
+  assert.is(queue.takeNext(0), undefined)
+  assert.is(queue.takeNext(11_000)?.rank, Rank.Other)
+})
+
 test('a free slot means no wait, a full queue a wait in proportion', () => {
   const queue = createQueue({ urgent: 0, other: 0 }, 1)
   assert.is(queue.expectedWaitMs(Rank.Urgent), 0)
