Cache events: late and with gaps, they unbind programs whose history was evicted

Cause: engines publish cache events; nothing read them, and the stand-in had none. Change: the stand-in publishes stores and evictions late and loses one in ten; the lead reads them with the load report, and an eviction lets the program go to any worker at its next step. They never prove presence.

--- a/packages/core/src/common/engines/engineMemory.ts
+++ b/packages/core/src/common/engines/engineMemory.ts
@@ -29,6 +29,8 @@
 export class EngineMemory {
   /** Reports in which a session was seen while no open program here owned it. */
   private readonly _seen = new Map<string, number>()
+  /** Sequence of the next cache event to read, by worker. */
+  private readonly _nextSequences = new Map<string, number>()
 
   constructor (
     @inject(NodeIdentity) private readonly _identity: NodeIdentity,
@@ -82,12 +84,32 @@
   }
 
   private _pollWorker (worker: WorkerInfo): void {
+    this._readCacheEvents(worker)
     this._backends.call(worker, { type: 'status' }, CALL_TIMEOUT_MS, event => {
       if (event.type === 'status') this._sweep(worker, event.status)
       else if (event.type === 'failed' && event.isLeaving) this._membership.markLeaving(worker.worker)
     })
   }
 
+  /** Events only take cached histories off the map: late as they are, they prove no presence. */
+  private _readCacheEvents (worker: WorkerInfo): void {
+    const fromSequence = this._nextSequences.get(worker.worker) ?? 0
+    this._backends.call(worker, { type: 'cacheEvents', fromSequence }, CALL_TIMEOUT_MS, event => {
+      if (event.type !== 'cacheEvents') return
+      for (const change of event.events) {
+        this._nextSequences.set(worker.worker, change.sequence + 1)
+        if (change.kind === 'evicted') this._noteEvicted(worker.worker, change.session)
+      }
+    })
+  }
+
+  /** A program whose history was evicted may go to any worker at its next step. */
+  private _noteEvicted (worker: string, session: string): void {
+    const program = this._programs.get(session)
+    if (program === undefined || program.running !== undefined) return
+    program.state.workers = program.state.workers.filter(entry => entry.worker !== worker)
+  }
+
   private _sweep (worker: WorkerInfo, status: EngineStatus): void {
     const doubtful = status.heldSessions.map(held => held.session).filter(session => this._isDoubtful(session))
     const byNode = new Map<string, string[]>()
--- a/packages/core/src/common/kernel/effects.ts
+++ b/packages/core/src/common/kernel/effects.ts
@@ -29,13 +29,15 @@
 /** Asks a service that keeps idempotency keys what became of a call. */
 export interface ServiceLookup { type: 'lookup', idempotencyKey: string }
 export interface StatusRequest { type: 'status' }
+/** Reads what an engine published about its cache; events come late and some are missing. */
+export interface CacheEventsRequest { type: 'cacheEvents', fromSequence: number }
 export interface ReleaseRequest { type: 'release', session: string }
 /** Moves the cache of a program between two engines. */
 export interface TransferRequest { type: 'transfer', session: string, fromAddress: string }
 /** Orders an engine to load a model; engines that check refuse a fencing number below one they have seen. */
 export interface LoadOrder { type: 'load', model: string, fencingNumber: number }
 
-export type BackendRequest = EngineRequest | ServiceRequest | ServiceLookup | StatusRequest | ReleaseRequest | TransferRequest | LoadOrder
+export type BackendRequest = EngineRequest | ServiceRequest | ServiceLookup | StatusRequest | CacheEventsRequest | ReleaseRequest | TransferRequest | LoadOrder
 
 export const LogLevel = { Info: 'info', Warn: 'warn', Error: 'error' } as const
 export type LogLevel = typeof LogLevel[keyof typeof LogLevel]
--- a/packages/core/src/common/kernel/events.ts
+++ b/packages/core/src/common/kernel/events.ts
@@ -41,11 +41,19 @@
   heldSessions: Array<{ session: string, tokens: number }>
 }
 
+/** A change of an engine's cache. Sequences have gaps where events were lost. */
+export interface CacheEvent {
+  sequence: number
+  kind: 'stored' | 'evicted'
+  session: string
+}
+
 export type BackendEvent =
   | { type: 'chunk', text: string, tokens: number }
   | { type: 'modelDone', result: ModelResult }
   | { type: 'serviceDone', result: ServiceResult }
   | { type: 'status', status: EngineStatus }
+  | { type: 'cacheEvents', events: CacheEvent[] }
   | { type: 'ok' }
   /** `isUntouched` is true only when no byte of the request was written or the back end said that it did not run it. */
   | { type: 'failed', isUntouched: boolean, isConnectionLost: boolean, isLeaving: boolean, detail: string }
--- a/packages/node/src/node/backendClient.ts
+++ b/packages/node/src/node/backendClient.ts
@@ -1,7 +1,7 @@
 /** Calls model engines and services over HTTP. */
 import { Agent, Client, type Dispatcher, request } from 'undici'
 import type { BackendEvent, BackendRequest, EngineRequest, ServiceRequest } from '@trefoilshunt/core'
-import { ENGINE_PATHS, engineChunkSchema, engineStatusSchema, EventStreamReader, IDEMPOTENCY_HEADER, LEAVING_HEADER, NOT_RUN_HEADER, SERVICE_LOOKUP_PATH, toEngineBody } from '@trefoilshunt/protocol'
+import { cacheEventsSchema, ENGINE_PATHS, engineChunkSchema, engineStatusSchema, EventStreamReader, IDEMPOTENCY_HEADER, LEAVING_HEADER, NOT_RUN_HEADER, SERVICE_LOOKUP_PATH, toEngineBody } from '@trefoilshunt/protocol'
 import { describeError } from './httpErrors.js'
 
 const CONNECTIONS_PER_WORKER = 64
@@ -57,6 +57,7 @@
       case 'service': return await this._runService(base, backendRequest, signal, finish)
       case 'lookup': return await this._lookup(base, backendRequest.idempotencyKey, signal, finish)
       case 'status': return await this._readStatus(base, signal, finish)
+      case 'cacheEvents': return await this._readCacheEvents(base, backendRequest.fromSequence, signal, finish)
       case 'release': return await this._post(base, ENGINE_PATHS.release, { session: backendRequest.session }, signal, finish)
       case 'transfer': return await this._post(base, ENGINE_PATHS.importCache, { session: backendRequest.session, from: backendRequest.fromAddress }, signal, finish)
       case 'load': return await this._post(base, ENGINE_PATHS.load, { model: backendRequest.model, fencing_number: backendRequest.fencingNumber }, signal, finish)
@@ -110,6 +111,13 @@
     else finish(toFailure({ isUntouched: true, isLeaving, detail: 'no load report' }))
   }
 
+  private async _readCacheEvents (base: string, fromSequence: number, signal: AbortSignal, finish: Listener): Promise<void> {
+    const response = await request(`${base}${ENGINE_PATHS.events}?from=${fromSequence}`, { signal, dispatcher: this._agent })
+    const answer = cacheEventsSchema.safeParse(parseBody(await response.body.text()))
+    if (answer.success) finish({ type: 'cacheEvents', events: answer.data.events })
+    else finish(toFailure({ isUntouched: true, detail: 'no cache events' }))
+  }
+
   private async _post (base: string, path: string, body: unknown, signal: AbortSignal, finish: Listener): Promise<void> {
     const response = await request(`${base}${path}`, { method: 'POST', headers: JSON_HEADERS, body: JSON.stringify(body), signal, dispatcher: this._agent })
     await response.body.dump()
--- a/packages/protocol/src/common/engineApi.ts
+++ b/packages/protocol/src/common/engineApi.ts
@@ -34,9 +34,14 @@
   heldSessions: z.array(z.object({ session: z.string(), tokens: z.number() }))
 })
 
+export const cacheEventsSchema = z.object({
+  events: z.array(z.object({ sequence: z.int().nonnegative(), kind: z.enum(['stored', 'evicted']), session: z.string() }))
+})
+
 export const ENGINE_PATHS = {
   completions: '/v1/chat/completions',
   status: '/v1/status',
+  events: '/v1/cache/events',
   release: '/v1/cache/release',
   exportCache: '/v1/cache/export',
   importCache: '/v1/cache/import',
--- a/packages/standins/src/common/modelEngine.ts
+++ b/packages/standins/src/common/modelEngine.ts
@@ -1,5 +1,5 @@
 /** A model engine: continuous batching, prefix cache in limited memory, priorities, crashes on request. */
-import { type BackendEvent, type ChatMessage, type EngineRequest, type EngineStatus, hash32, type IDisposable, toDisposable } from '@trefoilshunt/core'
+import { type BackendEvent, type CacheEvent, type ChatMessage, type EngineRequest, type EngineStatus, hash32, type IDisposable, toDisposable } from '@trefoilshunt/core'
 import { answerLength, answerToken, isPoison, tokensOf } from './answers.js'
 import { PrefixCache } from './prefixCache.js'
 import type { WeightStore } from './weightStore.js'
@@ -20,6 +20,10 @@
   kvTokensCapacity: number
   /** Age of a load report when it is read. */
   reportLagMs: number
+  /** Age of a cache event when it can be read. */
+  eventLagMs: number
+  /** One of so many cache events is lost. */
+  eventLossEvery: number
   /** Tokens sent in one chunk of a stream. */
   chunkTokens: number
   checksFencing: boolean
@@ -38,11 +42,16 @@
   prefillTokensPerStep: 512,
   kvTokensCapacity: 400_000,
   reportLagMs: 500,
+  eventLagMs: 1_000,
+  eventLossEvery: 10,
   chunkTokens: 8,
   checksFencing: true,
   modelBytes: 10_000_000_000
 }
 
+/** Cache events that can still be read. */
+const EVENTS_KEPT = 1_000
+
 interface Sequence {
   request: EngineRequest
   listener: (event: BackendEvent) => void
@@ -97,10 +106,13 @@
   private _highestFencingNumber = -1
   private _model: string
   private _slowFactor = 1
+  private readonly _events: Array<{ atMs: number, event: CacheEvent }> = []
+  private _lastSequence = 0
 
   constructor (options: Partial<ModelEngineOptions> & Pick<ModelEngineOptions, 'name' | 'model'>, private readonly _host: IStandinHost) {
     this.options = { ...DEFAULTS, heldBefore: new Map(), ...options }
     this._model = options.model
+    this.cache.onDidEvict = session => this._publish('evicted', session)
   }
 
   get isDown (): boolean {
@@ -144,6 +156,19 @@
     return this._reports[0].status
   }
 
+  /** Cache events from a sequence on that are old enough to be seen; some are missing. */
+  cacheEvents (fromSequence: number): CacheEvent[] {
+    const untilMs = this._host.nowMs() - this.options.eventLagMs
+    return this._events.filter(({ atMs, event }) => atMs <= untilMs && event.sequence >= fromSequence).map(({ event }) => event)
+  }
+
+  private _publish (kind: CacheEvent['kind'], session: string): void {
+    this._lastSequence++
+    const isLost = this._lastSequence % this.options.eventLossEvery === 0
+    if (!isLost) this._events.push({ atMs: this._host.nowMs(), event: { sequence: this._lastSequence, kind, session } })
+    if (this._events.length > EVENTS_KEPT) this._events.shift()
+  }
+
   /** What the engine holds now; for checkers. */
   heldSessions (): Array<{ session: string, tokens: number }> {
     return this.cache.sessions()
@@ -354,6 +379,7 @@
     const { session, retainMs } = sequence.request
     const tokens = sequence.promptTokens - sequence.prefillLeft + sequence.generated
     this.cache.store(session, tokens, this._host.nowMs() + retainMs)
+    this._publish('stored', session)
     this.options.heldBefore.set(session, Math.max(tokens, this.options.heldBefore.get(session) ?? 0))
   }
 
--- a/packages/standins/src/common/prefixCache.ts
+++ b/packages/standins/src/common/prefixCache.ts
@@ -8,6 +8,8 @@
 /** Least recently used programs go first, those whose retention has ended before the others. */
 export class PrefixCache {
   private readonly _entries = new Map<string, CacheEntry>()
+  /** Called for every program that is evicted for lack of memory. */
+  onDidEvict: (session: string) => void = () => {}
   private _tokens = 0
 
   get tokens (): number {
@@ -43,6 +45,7 @@
       if (freed >= tokens) return
       freed += this.tokensOf(session)
       this.release(session)
+      this.onDidEvict(session)
     }
   }
 
--- a/packages/standins/src/node/engineServer.ts
+++ b/packages/standins/src/node/engineServer.ts
@@ -14,6 +14,7 @@
     this.engine = new ModelEngine({ chunkTokens: 1, ...options }, realHost)
     this.server.post(ENGINE_PATHS.completions, call => this._complete(call))
     this.server.get(ENGINE_PATHS.status, ({ response }) => sendJson(response, this.engine.isDown ? 503 : 200, this.engine.status()))
+    this.server.get(ENGINE_PATHS.events, ({ query, response }) => sendJson(response, this.engine.isDown ? 503 : 200, { events: this.engine.cacheEvents(Number(query.get('from') ?? 0)) }))
     this.server.post(ENGINE_PATHS.release, ({ body, response }) => {
       this.engine.release((body as { session: string }).session)
       sendJson(response, 200, {})
--- a/packages/testing/src/common/host/virtualBackends.ts
+++ b/packages/testing/src/common/host/virtualBackends.ts
@@ -99,6 +99,8 @@
       listener(backendFailure('connection refused'))
     } else if (request.type === 'status') {
       listener({ type: 'status', status: engine.status() })
+    } else if (request.type === 'cacheEvents') {
+      listener({ type: 'cacheEvents', events: engine.cacheEvents(request.fromSequence) })
     } else if (request.type === 'release') {
       engine.release(request.session)
       listener({ type: 'ok' })
