Steps and tool calls of running sub-agents count against the budget before they end

Cause: only tokens were set aside while a step ran; two sub-agents at the last step both started, so that trees ended with 10 steps where 9 were allowed.

--- a/packages/core/src/common/programs/budget.ts
+++ b/packages/core/src/common/programs/budget.ts
@@ -10,6 +10,7 @@
 export interface Reservation {
   promptTokens: number
   maxTokens: number
+  toolCalls: number
 }
 
 /** Why a step does not fit. */
@@ -31,7 +32,7 @@
 
 /** Tokens of the tree's budget that are neither used nor set aside by running steps. */
 export function tokensLeft (root: LiveProgram): number {
-  return root.state.budget.tokens - root.state.spent.tokens - root.outstandingTokens
+  return root.state.budget.tokens - root.state.spent.tokens - root.outstanding.tokens
 }
 
 /**
@@ -41,22 +42,31 @@
  */
 export function reserveBudget (root: LiveProgram, call: StepCall, nowMs: number): Either<BudgetProblem, Reservation> {
   const { budget, spent, openedAtMs } = root.state
+  const { outstanding } = root
   if (nowMs - openedAtMs >= budget.wallTimeMs) return Left({ field: 'wallTimeMs', limit: budget.wallTimeMs })
-  if (spent.steps >= budget.steps) return Left({ field: 'steps', limit: budget.steps })
+  if (spent.steps + outstanding.steps >= budget.steps) return Left({ field: 'steps', limit: budget.steps })
   if (call.type === 'service') {
-    if (spent.toolCalls >= budget.toolCalls) return Left({ field: 'toolCalls', limit: budget.toolCalls })
-    return Right({ promptTokens: 0, maxTokens: 0 })
+    if (spent.toolCalls + outstanding.toolCalls >= budget.toolCalls) return Left({ field: 'toolCalls', limit: budget.toolCalls })
+    return Right(setAside(root, { promptTokens: 0, maxTokens: 0, toolCalls: 1 }))
   }
   const promptTokens = promptTokensOf(call)
   const maxTokens = Math.min(call.maxTokens, tokensLeft(root) - promptTokens)
   if (maxTokens < 1) return Left({ field: 'tokens', limit: budget.tokens })
-  root.outstandingTokens += promptTokens + maxTokens
-  return Right({ promptTokens, maxTokens })
+  return Right(setAside(root, { promptTokens, maxTokens, toolCalls: 0 }))
+}
+
+function setAside (root: LiveProgram, reservation: Reservation): Reservation {
+  root.outstanding.tokens += reservation.promptTokens + reservation.maxTokens
+  root.outstanding.steps++
+  root.outstanding.toolCalls += reservation.toolCalls
+  return reservation
 }
 
 /** Gives back what a step had set aside. */
 export function releaseReservation (root: LiveProgram, reservation: Reservation): void {
-  root.outstandingTokens -= reservation.promptTokens + reservation.maxTokens
+  root.outstanding.tokens -= reservation.promptTokens + reservation.maxTokens
+  root.outstanding.steps--
+  root.outstanding.toolCalls -= reservation.toolCalls
 }
 
 /** Counts a finished step. */
--- a/packages/core/src/common/programs/liveProgram.ts
+++ b/packages/core/src/common/programs/liveProgram.ts
@@ -2,7 +2,7 @@
 import type { StepRequest } from '../kernel/callerMessages.js'
 import type { CallerExchange } from '../kernel/callerPort.js'
 import type { IJournalEpoch } from '../journal/journal.js'
-import type { ProgramState } from './programState.js'
+import type { ProgramState, Spending } from './programState.js'
 
 /** A step that is being run. */
 export interface RunningStep {
@@ -26,8 +26,8 @@
   running?: RunningStep
   /** Steps that arrived before their turn, by number. */
   waiting: Map<number, CallerExchange<StepRequest>>
-  /** Tokens that running steps of the tree may still use; kept at the root. */
-  outstandingTokens: number
+  /** What running steps of the tree may still use; kept at the root. */
+  outstanding: Spending
   /** Tokens used by cancelled steps, to be recorded with the next turn. */
   carriedTokens: number
   lastActiveMs: number
@@ -50,7 +50,7 @@
     state,
     journal,
     waiting: new Map(),
-    outstandingTokens: 0,
+    outstanding: { tokens: 0, steps: 0, toolCalls: 0 },
     carriedTokens: 0,
     lastActiveMs: nowMs,
     snapshotAtMs: nowMs,
--- a/packages/testing/src/common/scenario/scenario.ts
+++ b/packages/testing/src/common/scenario/scenario.ts
@@ -63,6 +63,8 @@
     vanishingShare: z.number().min(0).max(1).default(0),
     urgentShare: z.number().min(0).max(1).default(0.5)
   }).prefault({}),
+  /** Budget of every program, in place of the firm's own. */
+  budget: z.strictObject({ tokens: countSchema, steps: countSchema, toolCalls: countSchema }).optional(),
   faults: z.array(faultSchema).default([]),
   expect: z.strictObject({
     /** Share of programs that finish, of those whose caller stayed. */
--- a/packages/testing/src/common/scenario/scenarioRunner.ts
+++ b/packages/testing/src/common/scenario/scenarioRunner.ts
@@ -78,7 +78,8 @@
 
 function documentOf (scenario: Scenario): ConfigurationDocument {
   const base = scenario.firm === 'harrow' ? HARROW_DOCUMENT : PLECIONKA_DOCUMENT
-  return { ...base, idleTimeoutMs: IDLE_TIMEOUT_MS }
+  const workKinds = base.workKinds.map(kind => ({ ...kind, budget: { ...kind.budget, ...scenario.budget } }))
+  return { ...base, workKinds, idleTimeoutMs: IDLE_TIMEOUT_MS }
 }
 
 function createFleet (scenario: Scenario, document: ConfigurationDocument, evidence: FleetEvidence, options: ScenarioOptions): Fleet {
