--- a/packages/core/src/common/programs/budget.ts
+++ b/packages/core/src/common/programs/budget.ts
@@ -38,15 +38,16 @@
 /**
  * Checks a step against the budget of its tree and sets aside what it may use.
  *
+ * @param openClaims steps of the tree that were sent and whose fate is not known; each will count as a step and a call.
  * @returns the reservation with `maxTokens` lowered to what is left, or the limit that the step would break.
  */
-export function reserveBudget (root: LiveProgram, call: StepCall, nowMs: number): Either<BudgetProblem, Reservation> {
+export function reserveBudget (root: LiveProgram, call: StepCall, nowMs: number, openClaims = 0): Either<BudgetProblem, Reservation> {
   const { budget, spent, openedAtMs } = root.state
   const { outstanding } = root
   if (nowMs - openedAtMs >= budget.wallTimeMs) return Left({ field: 'wallTimeMs', limit: budget.wallTimeMs })
-  if (spent.steps + outstanding.steps >= budget.steps) return Left({ field: 'steps', limit: budget.steps })
+  if (spent.steps + outstanding.steps + openClaims >= budget.steps) return Left({ field: 'steps', limit: budget.steps })
   if (call.type === 'service') {
-    if (spent.toolCalls + outstanding.toolCalls >= budget.toolCalls) return Left({ field: 'toolCalls', limit: budget.toolCalls })
+    if (spent.toolCalls + outstanding.toolCalls + openClaims >= budget.toolCalls) return Left({ field: 'toolCalls', limit: budget.toolCalls })
     return Right(setAside(root, { promptTokens: 0, maxTokens: 0, toolCalls: 1 }))
   }
   const promptTokens = promptTokensOf(call)
--- a/packages/core/src/common/programs/programRouting.ts
+++ b/packages/core/src/common/programs/programRouting.ts
@@ -84,8 +84,12 @@
     const adopter = this._takeover.resolveAdopter(journalOf(origin))
     const peer = adopter === undefined ? undefined : this._membership.findNode(adopter)
     const isElsewhere = peer !== undefined && peer.node !== this._identity.node
-    if (isTrusted && isElsewhere) this._forward(exchange, { node: peer.node, incarnation: peer.incarnation ?? '', address: peer.address })
-    else this._locate(exchange, programId, home, onHere, onLost)
+    if (isTrusted && isElsewhere) {
+      // The old home may be heard again before it knows that it has lost the program.
+      const adopted = { node: peer.node, incarnation: peer.incarnation ?? '', address: peer.address }
+      if (this._membership.isTakeoverDue(home)) this.noteMoved(programId, adopted)
+      this._forward(exchange, adopted)
+    } else this._locate(exchange, programId, home, onHere, onLost)
   }
 
   private _locate (exchange: CallerExchange, programId: string, home: NodeRef, onHere: (program: LiveProgram) => void, onLost: (loss: ProgramLoss) => void): void {
--- a/packages/core/src/common/programs/stepRunner.ts
+++ b/packages/core/src/common/programs/stepRunner.ts
@@ -16,12 +16,15 @@
 import { ModelSteps } from './modelSteps.js'
 import { IProgramClosing } from './programClosing.js'
 import { addTurn, nextStepOf, type OpenClaim, type RecordedTurn } from './programState.js'
+import { toRefusal } from './programRouting.js'
 import { IProgramTable } from './programTable.js'
 import { ServiceSteps } from './serviceSteps.js'
 import { idempotencyKeyOf, type StartedStep } from './startedStep.js'
 import { decideStep, digestWithUnknown } from './stepDecision.js'
 import { StepEnding } from './stepEnding.js'
 
+const MISMATCH_RETRY_MS = 500
+
 type StepExchange = CallerExchange<StepRequest>
 
 /** Runs steps of programs that are at home here. */
@@ -69,7 +72,9 @@
       case 'recordUnknown': return this._recordUnknown(exchange, program, decision.claim)
       case 'resupply': return this._resupply(exchange, program, decision.missing)
       case 'historyNeeded': return this._askHistory(exchange, decision.knownStep)
-      case 'refuse': return this._ending.refuse(exchange, program, decision.reason, decision.detail)
+      case 'refuse':
+        if (decision.reason === Reason.HistoryMismatch) return this._refuseMismatch(exchange, program, decision.detail)
+        return this._ending.refuse(exchange, program, decision.reason, decision.detail)
     }
   }
 
@@ -89,13 +94,26 @@
     this._callers.reply(requestId, this._ending.toAnswer(program, turn, true))
   }
 
+  /**
+   * A history that differs may mean that this node has lost the program to another one without knowing it yet: only a
+   * look at its own journal can tell, and while the log does not answer nobody can.
+   */
+  private _refuseMismatch (exchange: StepExchange, program: LiveProgram, detail: string): void {
+    program.journal.checkFence(isComplete => {
+      if (program.journal.isFenced) this._callers.dispatchAgain(exchange)
+      else if (isComplete) this._ending.refuse(exchange, program, Reason.HistoryMismatch, detail)
+      else this._callers.reply(exchange.requestId, toRefusal(exchange, Reason.LogUnavailable, 'the home cannot tell whether it still holds the program', MISMATCH_RETRY_MS))
+    })
+  }
+
   // Starting and waiting
 
   private _start (exchange: StepExchange, program: LiveProgram, callDigest: string): void {
     const { request } = exchange
     const nowMs = this._clock.nowMs()
     const root = this._programs.rootOf(program)
-    const reserved = reserveBudget(root, request.call, nowMs)
+    const openClaims = this._programs.treeOf(root.state.programId).filter(member => member.state.openClaim !== undefined && member.running === undefined).length
+    const reserved = reserveBudget(root, request.call, nowMs, openClaims)
     if (reserved.isLeft()) {
       const problem = reserved.extract() as { field: string, limit: number }
       this._ending.refuse(exchange, program, Reason.BudgetExceeded, `the budget allows ${problem.limit} ${problem.field}`)
--- a/packages/core/test/common/programs/budget.test.ts
+++ b/packages/core/test/common/programs/budget.test.ts
@@ -42,6 +42,12 @@
   assert.is(problemOf(root, TOOL), 'toolCalls')
 })
 
+test('a step of unknown fate counts until it is recorded', () => {
+  const root = createRoot({ steps: 2 })
+  assert.ok(reserveBudget(root, MODEL, 0, 1).isRight())
+  assert.ok(reserveBudget(root, MODEL, 0, 1).isLeft())
+})
+
 test('an answer is shortened to what is left, and refused when nothing is left', () => {
   const root = createRoot({ tokens: 100 })
   const first = reserveBudget(root, MODEL, 0).unsafeCoerce()
