--- a/packages/core/src/common/kernel/kernel.ts
+++ b/packages/core/src/common/kernel/kernel.ts
@@ -48,7 +48,7 @@
  *
  * @example
  * const kernel = new Kernel({ identity, seed: 1 })
- * const effects = kernel.handle({ type: 'started' }, Date.now())
+ * const effects = kernel.handle({ type: 'started' }, nowMs)
  */
 export class Kernel {
   private readonly _clock = new KernelClock()
--- a/packages/standins/src/common/modelEngine.ts
+++ b/packages/standins/src/common/modelEngine.ts
@@ -1,6 +1,7 @@
 /** A model engine: continuous batching, prefix cache in limited memory, priorities, crashes on request. */
 import { type BackendEvent, type CacheEvent, type ChatMessage, type EngineRequest, type EngineStatus, hash32, type IDisposable, toDisposable } from '@trefoilshunt/core'
 import { answerLength, answerToken, isPoison, tokensOf } from './answers.js'
+import { CacheEventLog } from './cacheEventLog.js'
 import { PrefixCache } from './prefixCache.js'
 import type { WeightStore } from './weightStore.js'
 import type { IStandinHost } from './standinHost.js'
@@ -49,9 +50,6 @@
   modelBytes: 10_000_000_000
 }
 
-/** Cache events that can still be read. */
-const EVENTS_KEPT = 1_000
-
 interface Sequence {
   request: EngineRequest
   listener: (event: BackendEvent) => void
@@ -106,13 +104,13 @@
   private _highestFencingNumber = -1
   private _model: string
   private _slowFactor = 1
-  private readonly _events: Array<{ atMs: number, event: CacheEvent }> = []
-  private _lastSequence = 0
+  private readonly _events: CacheEventLog
 
   constructor (options: Partial<ModelEngineOptions> & Pick<ModelEngineOptions, 'name' | 'model'>, private readonly _host: IStandinHost) {
     this.options = { ...DEFAULTS, heldBefore: new Map(), ...options }
     this._model = options.model
-    this.cache.onDidEvict = session => this._publish('evicted', session)
+    this._events = new CacheEventLog({ lagMs: this.options.eventLagMs, lossEvery: this.options.eventLossEvery }, _host)
+    this.cache.onDidEvict = session => this._events.publish('evicted', session)
   }
 
   get isDown (): boolean {
@@ -156,17 +154,9 @@
     return this._reports[0].status
   }
 
-  /** Cache events from a sequence on that are old enough to be seen; some are missing. */
+  /** Cache events from a sequence on that can be seen by now. */
   cacheEvents (fromSequence: number): CacheEvent[] {
-    const untilMs = this._host.nowMs() - this.options.eventLagMs
-    return this._events.filter(({ atMs, event }) => atMs <= untilMs && event.sequence >= fromSequence).map(({ event }) => event)
-  }
-
-  private _publish (kind: CacheEvent['kind'], session: string): void {
-    this._lastSequence++
-    const isLost = this._lastSequence % this.options.eventLossEvery === 0
-    if (!isLost) this._events.push({ atMs: this._host.nowMs(), event: { sequence: this._lastSequence, kind, session } })
-    if (this._events.length > EVENTS_KEPT) this._events.shift()
+    return this._events.read(fromSequence)
   }
 
   /** What the engine holds now; for checkers. */
@@ -379,7 +369,7 @@
     const { session, retainMs } = sequence.request
     const tokens = sequence.promptTokens - sequence.prefillLeft + sequence.generated
     this.cache.store(session, tokens, this._host.nowMs() + retainMs)
-    this._publish('stored', session)
+    this._events.publish('stored', session)
     this.options.heldBefore.set(session, Math.max(tokens, this.options.heldBefore.get(session) ?? 0))
   }
 
