--- a/packages/core/src/common/turns/index.ts
+++ b/packages/core/src/common/turns/index.ts
@@ -1,4 +1,5 @@
 export * from './partitionState.js'
+export * from './promptCache.js'
 export * from './tokenLedger.js'
 export * from './turnRecords.js'
 export * from './turnTree.js'
--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -1,26 +1,26 @@
 /** What the owner of a partition holds in memory: turns and token accounts, rebuilt from the records of the log. */
-import { type ProgramAccount, TokenLedger } from './tokenLedger.js'
-import { decodeRecord, decodeTurn, encodeAccount, encodeTurn, type KeyedRecord, removeTurn } from './turnRecords.js'
+import { type CachedPart, PromptCache, type PromptPart } from './promptCache.js'
+import { type ProgramAccount, TokenReservation, TokenLedger } from './tokenLedger.js'
+import { decodeRecord, decodeTurn, encodeAccount, encodeTurn, type KeyedRecord, removeAccount, removeTurn } from './turnRecords.js'
 import { type KeptTurn, TurnTree } from './turnTree.js'
 
 /** Accounts without a change for this long belong to programs that are gone. */
 const ACCOUNT_KEEP_MS = 300_000
-/** Sessions whose worker is remembered; the oldest yield. */
-const MAX_SESSIONS = 20_000
 
 /** What an entry node asks of the owner before it runs a turn. */
 export interface GrantRequest {
   programId: string
   requestId: string
-  sessionId?: string
   previousTurnId?: string
+  prompt: PromptPart[]
   /** Absent when the program has no budget. */
   budgetTokens?: number
   maxTokens: number
 }
 
 export type GrantDecision =
-  | { type: 'granted', chain: KeptTurn[], records: KeyedRecord[], worker?: string }
+  /** `records` must be in the log before the caller gets a token. */
+  | { type: 'granted', chain: KeptTurn[], records: KeyedRecord[], cached: CachedPart[] }
   | { type: 'spent' }
   | { type: 'noSuchTurn' }
 
@@ -28,9 +28,11 @@
 export interface TurnEnd {
   programId: string
   requestId: string
-  sessionId?: string
   usedTokens: number
+  /** Absent when no worker ran the turn. */
   worker?: string
+  /** The prompt as the worker holds it now, with what it generated. */
+  prompt: PromptPart[]
   /** Present when the answer is whole and the route keeps turns. */
   turn?: KeptTurn
 }
@@ -50,7 +52,7 @@
   private readonly _turns = new TurnTree()
   private readonly _ledger = new TokenLedger()
   private readonly _changedAtMs = new Map<string, number>()
-  private readonly _sessionWorkers = new Map<string, string>()
+  private readonly _promptCache = new PromptCache()
   private readonly _parts = new Map<string, Array<Uint8Array | undefined>>()
 
   constructor (private readonly _options: PartitionStateOptions) {}
@@ -87,16 +89,16 @@
 
   /** Decides whether a turn may run, and reserves its tokens. */
   grant (request: GrantRequest, nowMs: number): GrantDecision {
-    const { programId, requestId, sessionId, previousTurnId, budgetTokens, maxTokens } = request
+    const { programId, requestId, previousTurnId, prompt, budgetTokens, maxTokens } = request
     const chain = previousTurnId === undefined ? [] : this._turns.chainOf(previousTurnId)
     if (chain === undefined) return { type: 'noSuchTurn' }
     let records: KeyedRecord[] = []
     if (budgetTokens !== undefined) {
-      if (!this._ledger.reserve({ programId, requestId, budgetTokens, maxTokens })) return { type: 'spent' }
-      records = this._accountRecords(programId, nowMs)
+      const reservation = this._ledger.reserve({ programId, requestId, budgetTokens, maxTokens })
+      if (reservation === TokenReservation.Spent) return { type: 'spent' }
+      if (reservation === TokenReservation.Extended) records = this._accountRecords(programId, nowMs)
     }
-    const session = sessionId === undefined ? undefined : this._sessionWorkers.get(sessionKey(programId, sessionId))
-    return { type: 'granted', chain, records, worker: session ?? chain.at(-1)?.worker }
+    return { type: 'granted', chain, records, cached: this._promptCache.find(prompt) }
   }
 
   /** Takes in the end of a turn and returns what has to be recorded. */
@@ -106,11 +108,19 @@
       this._turns.add(end.turn, nowMs)
       records.push(...encodeTurn(end.turn, this._options.maxRecordBytes))
     }
-    if (end.worker !== undefined && end.sessionId !== undefined) this._noteSession(end.programId, end.sessionId, end.worker)
-    if (this._ledger.settle(end.programId, end.requestId, end.usedTokens)) records.push(...this._accountRecords(end.programId, nowMs))
+    if (end.worker !== undefined) this._promptCache.note(end.worker, end.prompt)
+    if (this._ledger.settle(end.programId, end.requestId, end.usedTokens)) {
+      this._ledger.allowAhead(end.programId)
+      records.push(...this._accountRecords(end.programId, nowMs))
+    }
     return records
   }
 
+  /** Makes the accounts exact for the next owner. */
+  seal (nowMs: number): KeyedRecord[] {
+    return this._ledger.seal().flatMap(programId => this._accountRecords(programId, nowMs))
+  }
+
   /** Takes turns of another partition that a program here continues. */
   importTurns (chain: readonly KeptTurn[], nowMs: number): KeyedRecord[] {
     const missing = chain.filter(turn => !this._turns.has(turn.turnId))
@@ -129,7 +139,7 @@
       if (nowMs - changedAtMs < ACCOUNT_KEEP_MS) continue
       this._changedAtMs.delete(programId)
       this._ledger.drop(programId)
-      records.push({ key: encodeAccount(programId, { usedTokens: 0, openTurns: new Map() }, nowMs).key })
+      records.push(removeAccount(programId))
     }
     return records
   }
@@ -145,19 +155,6 @@
     this._changedAtMs.set(programId, nowMs)
     return [encodeAccount(programId, account, nowMs)]
   }
-
-  private _noteSession (programId: string, sessionId: string, worker: string): void {
-    const key = sessionKey(programId, sessionId)
-    this._sessionWorkers.delete(key)
-    this._sessionWorkers.set(key, worker)
-    if (this._sessionWorkers.size <= MAX_SESSIONS) return
-    const oldest = this._sessionWorkers.keys().next()
-    if (oldest.done !== true) this._sessionWorkers.delete(oldest.value)
-  }
-}
-
-function sessionKey (programId: string, sessionId: string): string {
-  return `${programId}\n${sessionId}`
 }
 
 function concat (parts: Uint8Array[]): Uint8Array {
--- a/packages/core/src/common/turns/turnRecords.ts
+++ b/packages/core/src/common/turns/turnRecords.ts
@@ -24,7 +24,8 @@
 
 /** The record of a program's account. `updatedAtMs` is wall-clock time. */
 export function encodeAccount (programId: string, account: ProgramAccount, updatedAtMs: number): KeyedRecord {
-  const value = packr.pack({ p: programId, u: account.usedTokens, o: [...account.openTurns], w: updatedAtMs })
+  const { usedTokens, openTurns, allowedTokens, budgetTokens, turnTokens } = account
+  const value = packr.pack({ p: programId, u: usedTokens, o: [...openTurns], a: allowedTokens, b: budgetTokens, m: turnTokens, w: updatedAtMs })
   return { key: accountKey(programId), value }
 }
 
@@ -40,6 +41,11 @@
   }))
 }
 
+/** The record that removes a program's account. */
+export function removeAccount (programId: string): KeyedRecord {
+  return { key: accountKey(programId) }
+}
+
 /** Records that remove a turn. */
 export function removeTurn (turn: KeptTurn, maxRecordBytes: number): KeyedRecord[] {
   const count = Math.max(1, Math.ceil((turn.input.length + turn.output.length + RECORD_OVERHEAD_BYTES) / (maxRecordBytes - RECORD_OVERHEAD_BYTES)))
@@ -52,7 +58,8 @@
     const fields = packr.unpack(value) as Record<string, unknown>
     if (typeof fields.p === 'string') {
       const openTurns = new Map((fields.o as Array<[string, number]>).map(([id, tokens]) => [String(id), Number(tokens)]))
-      return { type: 'account', programId: fields.p, account: { usedTokens: Number(fields.u), openTurns }, updatedAtMs: Number(fields.w) }
+      const account = { usedTokens: Number(fields.u), openTurns, allowedTokens: Number(fields.a), budgetTokens: Number(fields.b), turnTokens: Number(fields.m) }
+      return { type: 'account', programId: fields.p, account, updatedAtMs: Number(fields.w) }
     }
     if (typeof fields.t !== 'string' || !(fields.b instanceof Uint8Array)) return undefined
     return { type: 'turnPart', turnId: fields.t, index: Number(fields.i), count: Number(fields.n), bytes: fields.b }
--- a/packages/core/src/common/workers/workerChoice.ts
+++ b/packages/core/src/common/workers/workerChoice.ts
@@ -2,15 +2,10 @@
 import { inject, injectable } from 'tsyringe'
 import { hash32 } from '../base/rendezvous.js'
 import { IRandom } from '../kernel/random.js'
+import type { CachedPart, PromptPart } from '../turns/promptCache.js'
 import { IWorkerStatistics } from './workerStatistics.js'
 import type { WorkerRegistration } from './workerRegistry.js'
 
-/** One part of a prompt; requests share the leading parts. */
-export interface PromptPart {
-  id: string
-  tokens: number
-}
-
 export interface WorkerChoiceQuery {
   candidates: readonly WorkerRegistration[]
   excluded: ReadonlySet<string>
@@ -19,8 +14,8 @@
   durationMs: number
   /** The prompt's parts in order; empty for plain services. */
   prompt: readonly PromptPart[]
-  /** Worker that served the session or the object before. */
-  previousWorker?: string
+  /** Parts of the prompt that are known to be cached, besides what this node's statistics tell. */
+  cached: readonly CachedPart[]
   nowMs: number
 }
 
@@ -86,7 +81,7 @@
   chooseWorker (query: WorkerChoiceQuery): WorkerRegistration | undefined {
     const candidates = query.candidates.filter(candidate => !query.excluded.has(candidate.workerId))
     if (candidates.length === 0) return undefined
-    const previous = candidates.find(candidate => candidate.workerId === query.previousWorker)
+    const previous = candidates.find(candidate => candidate.workerId === query.cached.at(-1)?.worker)
     switch (this._options.policy) {
       case WorkerChoicePolicy.RoundRobin: return candidates[this._turn++ % candidates.length]
       case WorkerChoicePolicy.LeastConnections: return this._lowest(candidates, candidate => this._statistics.inFlightOf(candidate.workerId))
@@ -108,18 +103,23 @@
     return runningMs + waitMs + prefillMs + zoneMs + riskMs
   }
 
-  private _missingTokens (worker: WorkerRegistration, { prompt, previousWorker, candidates }: WorkerChoiceQuery): number {
-    const hasSession = worker.workerId === previousWorker
+  /** Tokens that the worker has to read: from the first gap in its cache on. */
+  private _missingTokens (worker: WorkerRegistration, { prompt, cached, candidates }: WorkerChoiceQuery): number {
     let missing = 0
-    let isCached = true
     for (const [index, part] of prompt.entries()) {
-      const isLast = index === prompt.length - 1
-      isCached &&= isLast ? false : hasSession || this._statistics.hasCached(worker.workerId, part.id) || this._isHomeOf(worker, part.id, candidates)
-      if (!isCached) missing += part.tokens
+      const cachedTokens = missing > 0 ? 0 : this._cachedTokens(worker, part, index, cached, candidates)
+      missing += Math.max(0, part.tokens - cachedTokens)
     }
     return missing
   }
 
+  private _cachedTokens (worker: WorkerRegistration, part: PromptPart, index: number, cached: readonly CachedPart[], candidates: readonly WorkerRegistration[]): number {
+    const told = cached.find(known => known.id === part.id && known.worker === worker.workerId)?.tokens ?? 0
+    const seen = this._statistics.cachedTokensOf(worker.workerId, part.id)
+    const isShared = index === 0 && this._isHomeOf(worker, part.id, candidates)
+    return isShared ? part.tokens : Math.max(told, seen)
+  }
+
   /** True for the few workers on which a shared part is read on purpose; every node names the same ones. */
   private _isHomeOf (worker: WorkerRegistration, partId: string, candidates: readonly WorkerRegistration[]): boolean {
     const weight = hash32(`${partId} ${worker.workerId}`)
--- a/packages/core/src/common/workers/workerStatistics.ts
+++ b/packages/core/src/common/workers/workerStatistics.ts
@@ -1,5 +1,6 @@
 /** What this node has seen of each worker: requests in flight, durations, failures, cached prompts. */
 import { Ewma } from '../base/ewma.js'
+import type { PromptPart } from '../turns/promptCache.js'
 
 /** Weight of a new duration or failure; about the last ten requests count. */
 const SAMPLE_WEIGHT = 0.15
@@ -13,7 +14,8 @@
   durationRatio: Ewma
   failureRate: Ewma
   lastFailureAtMs: number
-  cachedParts: Map<string, true>
+  /** Tokens of each prompt part that the worker has read. */
+  cachedParts: Map<string, number>
 }
 
 /** Figures of the workers, as placement uses them. */
@@ -22,7 +24,7 @@
   /** Ends a request. `ratio` is its duration relative to the mean of its route; absent when it did not run to its end. */
   end (workerId: string, ratio?: number): void
   noteFailure (workerId: string, nowMs: number): void
-  notePrompt (workerId: string, partIds: readonly string[]): void
+  notePrompt (workerId: string, prompt: readonly PromptPart[]): void
   /** Replaces what a peer has in flight. */
   setPeerLoad (peer: string, inFlight: Readonly<Record<string, number>>): void
   dropPeer (peer: string): void
@@ -35,7 +37,8 @@
   slownessOf (workerId: string): number
   /** 0 to 1. */
   failureRateOf (workerId: string, nowMs: number): number
-  hasCached (workerId: string, partId: string): boolean
+  /** Tokens of a prompt part that the worker has probably cached. */
+  cachedTokensOf (workerId: string, partId: string): number
 }
 export const IWorkerStatistics = Symbol('IWorkerStatistics')
 
@@ -61,11 +64,12 @@
     figures.lastFailureAtMs = nowMs
   }
 
-  notePrompt (workerId: string, partIds: readonly string[]): void {
+  notePrompt (workerId: string, prompt: readonly PromptPart[]): void {
     const { cachedParts } = this._figuresOf(workerId)
-    for (const partId of partIds) {
-      cachedParts.delete(partId)
-      cachedParts.set(partId, true)
+    for (const { id, tokens } of prompt) {
+      const known = cachedParts.get(id) ?? 0
+      cachedParts.delete(id)
+      cachedParts.set(id, Math.max(known, tokens))
     }
     for (const partId of cachedParts.keys()) {
       if (cachedParts.size <= MAX_CACHED_PARTS) return
@@ -112,8 +116,8 @@
     return figures.failureRate.value
   }
 
-  hasCached (workerId: string, partId: string): boolean {
-    return this._figures.get(workerId)?.cachedParts.has(partId) ?? false
+  cachedTokensOf (workerId: string, partId: string): number {
+    return this._figures.get(workerId)?.cachedParts.get(partId) ?? 0
   }
 
   private _figuresOf (workerId: string): WorkerFigures {
--- /dev/null
+++ b/packages/core/test/common/turns/partitionState.test.ts
@@ -0,0 +1,159 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import fc from 'fast-check'
+import { type KeptTurn, type KeyedRecord, PartitionState, TokenLedger, type TurnEnd, TurnTree } from '@trefoilshunt/core'
+
+const MAX_RECORD_BYTES = 4_096
+
+function createTurn (turnId: string, previousTurnId?: string, bytes = 10): KeptTurn {
+  return { turnId, programId: 'p', previousTurnId, input: new Uint8Array(bytes).fill(1), output: new Uint8Array(bytes).fill(2), keepMs: 1_000, worker: 'w' }
+}
+
+function createEnd (turnId: string, usedTokens: number, turn?: KeptTurn): TurnEnd {
+  return { programId: 'p', requestId: turnId, usedTokens, worker: 'w', prompt: [], turn }
+}
+
+/** What the log keeps: the newest value of each key. */
+function createLog (): { take: (records: KeyedRecord[]) => void, rebuild: () => PartitionState, size: () => number } {
+  const newest = new Map<string, Uint8Array>()
+  return {
+    take: records => {
+      for (const { key, value } of records) {
+        if (value === undefined) newest.delete(key)
+        else newest.set(key, value)
+      }
+    },
+    rebuild: () => {
+      const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+      for (const value of newest.values()) assert.ok(state.fold(value, 0))
+      return state
+    },
+    size: () => newest.size
+  }
+}
+
+test('a reservation counts until the turn is settled, and again after a takeover', () => {
+  const log = createLog()
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  const request = { programId: 'p', prompt: [], budgetTokens: 1_000, maxTokens: 400 }
+  for (const requestId of ['a', 'b']) {
+    const grant = state.grant({ ...request, requestId }, 0)
+    assert.is(grant.type, 'granted')
+    if (grant.type === 'granted') log.take(grant.records)
+  }
+  assert.is(state.grant({ ...request, requestId: 'c' }, 0).type, 'spent')
+  log.take(state.end(createEnd('a', 100), 0))
+  log.take(state.seal(0))
+  const successor = log.rebuild()
+  assert.is(successor.grant({ ...request, requestId: 'c' }, 0).type, 'granted')
+  assert.is(successor.grant({ ...request, requestId: 'd' }, 0).type, 'spent')
+})
+
+test('what was allowed ahead counts as used after a takeover without a seal', () => {
+  const log = createLog()
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  const request = { programId: 'p', prompt: [], budgetTokens: 1_000, maxTokens: 100 }
+  const first = state.grant({ ...request, requestId: 'a' }, 0)
+  if (first.type === 'granted') log.take(first.records)
+  const covered = state.grant({ ...request, requestId: 'b' }, 0)
+  assert.equal(covered.type === 'granted' ? covered.records : undefined, [], 'the second turn needs no record')
+  const successor = log.rebuild()
+  const granted = Array.from({ length: 10 }, (_, index) => successor.grant({ ...request, requestId: `n${index}` }, 0).type).filter(type => type === 'granted')
+  assert.ok(granted.length <= 8, `${granted.length} turns beside two that may have run`)
+})
+
+test('a repeated report of an end changes nothing', () => {
+  const ledger = new TokenLedger()
+  ledger.reserve({ programId: 'p', requestId: 'a', budgetTokens: 100, maxTokens: 50 })
+  assert.ok(ledger.settle('p', 'a', 30))
+  assert.not.ok(ledger.settle('p', 'a', 30))
+  assert.is(ledger.find('p')?.usedTokens, 30)
+})
+
+test('tokens never pass the budget, whatever the order of turns, ends and takeovers', () => {
+  const action = fc.oneof(
+    fc.record({ type: fc.constant('grant' as const), id: fc.integer({ min: 0, max: 20 }), maxTokens: fc.integer({ min: 1, max: 300 }) }),
+    fc.record({ type: fc.constant('end' as const), id: fc.integer({ min: 0, max: 20 }), share: fc.double({ min: 0, max: 1, noNaN: true }) }),
+    fc.record({ type: fc.constant('flush' as const) }),
+    fc.record({ type: fc.constant('takeover' as const) })
+  )
+  fc.assert(fc.property(fc.array(action, { maxLength: 60 }), actions => {
+    const log = createLog()
+    let state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+    const open = new Map<string, number>()
+    let given = 0
+    let lazy: KeyedRecord[] = []
+    let isUsed = new Set<string>()
+    for (const step of actions) {
+      if (step.type === 'takeover') {
+        // The records of ends that were not appended yet are lost with the old owner.
+        state = log.rebuild()
+        lazy = []
+        continue
+      }
+      if (step.type === 'flush') {
+        log.take(lazy.splice(0))
+        continue
+      }
+      const requestId = `r${step.id}`
+      if (step.type === 'grant') {
+        if (isUsed.has(requestId)) continue
+        const grant = state.grant({ programId: 'p', requestId, prompt: [], budgetTokens: 1_000, maxTokens: step.maxTokens }, 0)
+        if (grant.type !== 'granted') continue
+        if (grant.records.length > 0) log.take([...lazy.splice(0), ...grant.records])
+        isUsed = new Set([...isUsed, requestId])
+        open.set(requestId, step.maxTokens)
+      } else if (open.has(requestId)) {
+        const used = Math.floor((open.get(requestId) ?? 0) * step.share)
+        open.delete(requestId)
+        given += used
+        lazy.push(...state.end(createEnd(requestId, used), 0))
+      }
+    }
+    return given <= 1_000
+  }), { numRuns: 300 })
+})
+
+test('a chain is rebuilt from its records in order, also when a turn takes several of them', () => {
+  const log = createLog()
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  log.take(state.end(createEnd('a', 0, createTurn('a')), 0))
+  log.take(state.end(createEnd('b', 0, createTurn('b', 'a', 9_000)), 0))
+  log.take(state.end(createEnd('c', 0, createTurn('c', 'a')), 0))
+  assert.ok(log.size() > 4, 'the long turn is split')
+  const successor = log.rebuild()
+  assert.equal(successor.chainOf('b')?.map(turn => turn.turnId), ['a', 'b'])
+  assert.equal(successor.chainOf('c')?.map(turn => turn.turnId), ['a', 'c'])
+  assert.is(successor.chainOf('b')?.at(1)?.input.length, 9_000)
+  assert.is(successor.grant({ programId: 'q', requestId: 'd', previousTurnId: 'x', prompt: [], maxTokens: 1 }, 0).type, 'noSuchTurn')
+})
+
+test('a turn lives as long as any that continues it, and its records go with it', () => {
+  const tree = new TurnTree()
+  tree.add(createTurn('a'), 0)
+  tree.add(createTurn('b', 'a'), 900)
+  assert.equal(tree.expire(1_500), [])
+  assert.ok(tree.chainOf('b'))
+  assert.is(tree.expire(1_900).length, 2)
+  assert.is(tree.bytes, 0)
+
+  const log = createLog()
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  log.take(state.end(createEnd('a', 0, createTurn('a', undefined, 9_000)), 0))
+  log.take(state.expire(1_000))
+  assert.is(log.size(), 0)
+})
+
+test('the worker of a session is told to the next turn, of the same session or of a sub-agent', () => {
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  state.end({ ...createEnd('a', 0), prompt: [{ id: 'shared', tokens: 900 }, { id: 'own', tokens: 300 }] }, 0)
+  const next = state.grant({ programId: 'p', requestId: 'b', prompt: [{ id: 'shared', tokens: 900 }, { id: 'own', tokens: 350 }, { id: 'child', tokens: 50 }], maxTokens: 1 }, 0)
+  assert.equal(next.type === 'granted' ? next.cached : [], [{ id: 'own', tokens: 300, worker: 'w' }])
+})
+
+test('damaged records are reported, not thrown', () => {
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 60 }), bytes => typeof state.fold(bytes, 0) === 'boolean'))
+})
+
+test.run()
--- /dev/null
+++ b/packages/core/test/common/workers/workers.test.ts
@@ -0,0 +1,83 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { DEFAULT_WORKER_CHOICE, SeededRandom, WorkerChoice, type WorkerChoiceQuery, type WorkerRegistration, WorkerRegistry, WorkerStatistics } from '@trefoilshunt/core'
+
+function createWorker (workerId: string, fields: Partial<WorkerRegistration> = {}): WorkerRegistration {
+  return { workerId, service: 's', address: '127.0.0.1:1', zone: 'a', slots: 4, isDraining: false, startedAtMs: 1, coldLeftMs: 0, ...fields }
+}
+
+function createQuery (candidates: WorkerRegistration[], fields: Partial<WorkerChoiceQuery> = {}): WorkerChoiceQuery {
+  return { candidates, excluded: new Set(), zone: 'a', durationMs: 200, prompt: [], cached: [], nowMs: 0, ...fields }
+}
+
+function idsOf (workers: WorkerRegistration[]): string[] {
+  return workers.map(worker => worker.workerId)
+}
+
+test('a worker that drains, leaves or serves another service gets no new work', () => {
+  const registry = new WorkerRegistry()
+  const lost: string[] = []
+  registry.onDidLoseWorker(workerId => lost.push(workerId))
+  for (const id of ['a', 'b', 'c']) registry.update(id, createWorker(id), 0)
+  registry.update('d', createWorker('d', { service: 'other' }), 0)
+  registry.update('a', createWorker('a', { isDraining: true }), 1)
+  registry.update('b', undefined, 1)
+  assert.equal(idsOf(registry.workersOf('s', 1)), ['c'])
+  assert.equal(lost, ['a', 'b'])
+  registry.update('c', createWorker('c', { startedAtMs: 2 }), 2)
+  assert.equal(lost, ['a', 'b', 'c'], 'a restart under the same id forgets what was known')
+})
+
+test('entries that lapse while the log is away may come back for two seconds', () => {
+  const registry = new WorkerRegistry()
+  for (const id of ['a', 'b']) registry.update(id, createWorker(id), 0)
+  registry.noteLogLost()
+  registry.noteLogRegained(10_000)
+  registry.replaceAll([], 10_000)
+  assert.equal(idsOf(registry.workersOf('s', 11_900)), ['a', 'b'])
+  registry.update('a', createWorker('a'), 11_950)
+  assert.equal(idsOf(registry.workersOf('s', 12_000)), ['a'], 'one that is still missing is gone')
+})
+
+test('a session stays at its worker until the queue there costs more than reading the prompt again', () => {
+  const statistics = new WorkerStatistics()
+  const choice = new WorkerChoice(DEFAULT_WORKER_CHOICE, statistics, new SeededRandom(1))
+  const workers = ['w0', 'w1', 'w2', 'w3'].map(id => createWorker(id))
+  const prompt = [{ id: 'shared', tokens: 12_600 }, { id: 'own', tokens: 5_800 }]
+  const query = createQuery(workers, { prompt, cached: [{ id: 'own', tokens: 5_000, worker: 'w2' }] })
+  statistics.notePrompt('w2', prompt.slice(0, 1))
+  for (let index = 0; index < 20; index++) assert.is(choice.chooseWorker(query)?.workerId, 'w2')
+  for (let index = 0; index < 8; index++) statistics.begin('w2')
+  assert.is.not(choice.chooseWorker(query)?.workerId, 'w2')
+})
+
+test('a shared prompt settles on a few workers, the same for every node', () => {
+  const workers = Array.from({ length: 8 }, (_, index) => createWorker(`w${index}`, { slots: 12 }))
+  const prompt = [{ id: 'shared', tokens: 12_600 }, { id: 'own', tokens: 800 }]
+  const chosen = new Set<string>()
+  for (let seed = 0; seed < 40; seed++) {
+    const choice = new WorkerChoice(DEFAULT_WORKER_CHOICE, new WorkerStatistics(), new SeededRandom(seed))
+    chosen.add(choice.chooseWorker(createQuery(workers, { prompt }))?.workerId ?? '')
+  }
+  assert.ok(chosen.size <= DEFAULT_WORKER_CHOICE.prefixCopies, [...chosen].join())
+})
+
+test('load of the peers, slowness and failures turn work away from a worker', () => {
+  const workers = ['w0', 'w1'].map(id => createWorker(id))
+  const createChoice = (statistics: WorkerStatistics) => new WorkerChoice(DEFAULT_WORKER_CHOICE, statistics, new SeededRandom(3))
+  const loaded = new WorkerStatistics()
+  loaded.setPeerLoad('peer', { w0: 9 })
+  assert.is(createChoice(loaded).chooseWorker(createQuery(workers))?.workerId, 'w1')
+  const slow = new WorkerStatistics()
+  for (let index = 0; index < 5; index++) {
+    slow.begin('w0')
+    slow.end('w0', 5)
+  }
+  assert.is(createChoice(slow).chooseWorker(createQuery(workers))?.workerId, 'w1')
+  const failing = new WorkerStatistics()
+  failing.noteFailure('w0', 0)
+  assert.is(createChoice(failing).chooseWorker(createQuery(workers, { nowMs: 10 }))?.workerId, 'w1')
+  assert.is(createChoice(failing).chooseWorker(createQuery(workers, { excluded: new Set(['w1']) }))?.workerId, 'w0')
+})
+
+test.run()
--- a/packages/node/src/common/routed/peerMessages.ts
+++ b/packages/node/src/common/routed/peerMessages.ts
@@ -1,5 +1,5 @@
 /** Messages between the nodes' routed parts. Sent as MessagePack, since they carry prompts and answers as bytes. */
-import type { GrantRequest, KeyedRecord, KeptTurn, TurnEnd } from '@trefoilshunt/core'
+import type { CachedPart, GrantRequest, KeyedRecord, KeptTurn, TurnEnd } from '@trefoilshunt/core'
 
 /** How a node can be reached. */
 export interface NodeAddress {
@@ -33,7 +33,7 @@
 /** An answer to a grant request. */
 export type GrantReply =
   /** The turn may be sent to a worker; `recorded` follows once the reservation is in the log. */
-  | { type: 'granted', chain: Uint8Array[], worker?: string, isRecorded: boolean }
+  | { type: 'granted', chain: Uint8Array[], cached: CachedPart[], isRecorded: boolean }
   | { type: 'recorded' }
   | { type: 'spent' }
   | { type: 'noSuchTurn' }
@@ -41,17 +41,14 @@
   | { type: 'unavailable', detail: string }
 
 export type EndReply =
-  /** `isDurable` is false when the log was down and the turn is only held in memory so far. */
-  | { type: 'ended', isDurable: boolean }
+  | { type: 'ended' }
   | { type: 'unavailable', detail: string }
 
 export type PeerRequest =
-  | { type: 'grant', partition: number, request: GrantRequest }
+  | { type: 'grant', partition: number, request: GrantRequest, isKept: boolean }
   | { type: 'end', partition: number, end: TurnEnd }
   /** Looks a turn up in every partition that the peer owns. */
   | { type: 'findChain', turnId: string }
-  /** Records that an earlier owner could not append. */
-  | { type: 'adopt', partition: number, records: KeyedRecord[] }
   /** What the peer knows of a topic that the asker can't read. */
   | { type: 'topic', topic: string }
 
@@ -59,5 +56,4 @@
   | GrantReply
   | EndReply
   | { type: 'chain', chain?: KeptTurn[], partitions: number[] }
-  | { type: 'adopted', isDone: boolean }
   | { type: 'topicContent', records?: KeyedRecord[] }
--- a/packages/node/src/node/routed/partitionHost.ts
+++ b/packages/node/src/node/routed/partitionHost.ts
@@ -1,8 +1,8 @@
 /** The partitions that the log's member group gives to this node. */
-import type { KeyedRecord, LogFields } from '@trefoilshunt/core'
+import type { IRandom, LogFields } from '@trefoilshunt/core'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
-import { PartitionOwner, TURN_TOPIC } from './partitionOwner.js'
+import { EPOCHS_PER_GENERATION, PartitionOwner, TURN_TOPIC } from './partitionOwner.js'
 
 const GROUP = 'turn-owners'
 /** Joins within one time to live: two may get lost. */
@@ -11,7 +11,7 @@
 const EXPIRE_PERIOD_MS = 5_000
 
 export interface PartitionHostOptions {
-  /** Unique for each start of the daemon. */
+  /** The node's name: after a restart it gets its partitions back at once. */
   member: string
   log: ILogClient
   partitionCount: number
@@ -19,11 +19,10 @@
   maxAppendBytes: number
   /** Time without a join after which the group gives the partitions to others. */
   memberTtlMs: number
-  isLogDown: () => boolean
+  logSilenceMs: () => number
+  random: IRandom
   /** The set of served partitions has changed. */
   onChanged: () => void
-  /** Records of a lost partition that its new owner needs. */
-  onUnrecorded: (partition: number, records: KeyedRecord[]) => void
   write: (event: string, fields: LogFields) => void
 }
 
@@ -35,8 +34,8 @@
  */
 export class PartitionHost {
   private readonly _owners = new Map<number, PartitionOwner>()
-  /** Epochs at which a partition was lost to another node; only a higher one may be tried again. */
-  private readonly _fencedEpochs = new Map<number, number>()
+  /** Generations in which a partition was lost to another node; only a later one may be tried again. */
+  private readonly _fencedGenerations = new Map<number, number>()
   private _generation = 0
   private _lastJoinMs = Number.NEGATIVE_INFINITY
   private _lastJoinWallMs = 0
@@ -116,20 +115,21 @@
       if (!mine.has(owner.partition)) this._lose(owner, 'reassigned')
     }
     for (const partition of mine) {
-      const isFenced = generation <= (this._fencedEpochs.get(partition) ?? 0)
+      const isFenced = generation <= (this._fencedGenerations.get(partition) ?? 0)
       if (!this._owners.has(partition) && !isFenced) this._take(partition, generation)
     }
   }
 
-  private _take (partition: number, epoch: number): void {
-    const { log, maxRecordBytes, maxAppendBytes, isLogDown, onChanged, write } = this._options
+  private _take (partition: number, generation: number): void {
+    const { log, maxRecordBytes, maxAppendBytes, logSilenceMs, random, onChanged, write } = this._options
     const owner = new PartitionOwner({
       partition,
-      epoch,
+      generation,
       log,
       maxRecordBytes,
       maxAppendBytes,
-      isLogDown,
+      logSilenceMs,
+      random,
       write,
       onLost: (lost, detail) => this._lose(lost, detail),
       onServing: onChanged
@@ -140,9 +140,8 @@
 
   private _lose (owner: PartitionOwner, detail: string): void {
     if (this._owners.get(owner.partition) === owner) this._owners.delete(owner.partition)
-    if (detail === 'fenced') this._fencedEpochs.set(owner.partition, owner.epoch)
-    const records = owner.lose(detail)
-    if (records.length > 0) this._options.onUnrecorded(owner.partition, records)
+    if (detail === 'fenced') this._fencedGenerations.set(owner.partition, Math.floor(owner.epoch / EPOCHS_PER_GENERATION))
+    owner.lose(detail)
     this._options.onChanged()
   }
 }
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -1,5 +1,5 @@
 /** One partition of turns and accounts while this node owns it: its folded state and its only writer. */
-import { type GrantRequest, type KeptTurn, type KeyedRecord, type LogFields, PartitionState, type TurnEnd } from '@trefoilshunt/core'
+import { type CachedPart, type GrantRequest, type IRandom, type KeptTurn, type KeyedRecord, type LogFields, PartitionState, type TurnEnd } from '@trefoilshunt/core'
 import type { AppendResult, ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
 
@@ -15,58 +15,75 @@
 const RECOVER_RETRY_MS = 100
 /** Records without a waiting reader are appended with the next batch, at the latest after this. */
 const LAZY_APPEND_MS = 400
+/** A log that answered nothing for this long counts as down: two joins of the member group. */
+const LOG_SILENT_MS = 1_000
 
 export const OwnerState = { Recovering: 'recovering', Serving: 'serving', Lost: 'lost' } as const
 export type OwnerState = typeof OwnerState[keyof typeof OwnerState]
 
 export interface PartitionOwnerOptions {
   partition: number
-  epoch: number
+  /** Generation of the member group that gave the partition to this node. */
+  generation: number
   log: ILogClient
   maxRecordBytes: number
   maxAppendBytes: number
-  /** True while no node reaches the log, so that nobody can have taken the partition over. */
-  isLogDown: () => boolean
+  /** Time since the log answered this node. */
+  logSilenceMs: () => number
+  random: IRandom
   onLost: (owner: PartitionOwner, detail: string) => void
   onServing: (owner: PartitionOwner) => void
   write: (event: string, fields: LogFields) => void
 }
 
 export type Grant =
-  /** `recorded` resolves to true once the reservation is safe, false when the partition was lost before. */
-  | { type: 'granted', chain: KeptTurn[], worker?: string, recorded: Promise<boolean> | undefined }
+  /** `recorded` resolves to true once the reservation is in the log, false when the partition was lost before. */
+  | { type: 'granted', chain: KeptTurn[], cached: CachedPart[], recorded: Promise<boolean> | undefined }
   | { type: 'spent' }
   | { type: 'noSuchTurn' }
+  /** The log doesn't take records now, so the turn could not be kept. */
+  | { type: 'stalled' }
 
 interface Batch {
   records: KeyedRecord[]
   waiters: Array<(outcome: RecordOutcome) => void>
 }
 
-/** Fate of records: in the log, held in memory while the log is down, or lost with the partition. */
-export type RecordOutcome = 'recorded' | 'held' | 'lost'
+/** Fate of records: in the log, or lost with the partition before they got there. */
+export type RecordOutcome = 'recorded' | 'lost'
 
-/** How long a record waits for the log before it counts as held, if the log is down for every node. */
-const HOLD_AFTER_MS = 300
+/** An append that waits longer than this means that the log is slow or down. */
+const STALLED_MS = 450
+/** Epochs that belong to one generation of the member group: restarts of its member take higher ones. */
+export const EPOCHS_PER_GENERATION = 2 ** 20
 
 export class PartitionOwner {
   readonly partition: number
-  readonly epoch: number
   private readonly _state: PartitionState
+  private _epoch: number
   private _ownerState: OwnerState = OwnerState.Recovering
   private _sequence = 0
   private _queue: Batch[] = []
   private _lazyRecords: KeyedRecord[] = []
   private _lazyTimer: NodeJS.Timeout | undefined
   private _inFlight: Batch | undefined
+  private _waitingSinceMs: number | undefined
+  /** The newest append of each account that is on its way. */
+  private readonly _accountAppends = new Map<string, Promise<boolean>>()
   private _appendTimeoutMs = FIRST_APPEND_TIMEOUT_MS
 
   constructor (private readonly _options: PartitionOwnerOptions) {
     this.partition = _options.partition
-    this.epoch = _options.epoch
+    const firstEpoch = _options.generation * EPOCHS_PER_GENERATION
+    this._epoch = firstEpoch + _options.random.nextInt(EPOCHS_PER_GENERATION / 2)
     this._state = new PartitionState({ maxRecordBytes: _options.maxRecordBytes })
   }
 
+  /** Number under which this node appends; the log refuses lower ones. */
+  get epoch (): number {
+    return this._epoch
+  }
+
   get state (): OwnerState {
     return this._ownerState
   }
@@ -117,22 +134,33 @@
     this._options.onServing(this)
   }
 
-  /** Decides on a turn; the reservation is on its way to the log when this returns. */
-  grant (request: GrantRequest): Grant {
+  /** True while the log is slow or down, as far as appends tell. */
+  get isStalled (): boolean {
+    const isWaiting = this._waitingSinceMs !== undefined && steadyNowMs() - this._waitingSinceMs > STALLED_MS
+    return isWaiting || this._options.logSilenceMs() > LOG_SILENT_MS
+  }
+
+  /** Decides on a turn; its reservation is on its way to the log when this returns. */
+  grant (request: GrantRequest, isKept: boolean): Grant {
+    if (isKept && this.isStalled) return { type: 'stalled' }
     const decision = this._state.grant(request, Date.now())
     if (decision.type !== 'granted') return decision
-    const { chain, records, worker } = decision
-    const recorded = records.length === 0 ? undefined : this.append(records).then(outcome => outcome !== 'lost')
-    return { type: 'granted', chain, worker, recorded }
+    const { chain, records, cached } = decision
+    if (records.length > 0) this._trackAccount(request.programId, this.append(records).then(outcome => outcome === 'recorded'))
+    return { type: 'granted', chain, cached, recorded: this._accountAppends.get(request.programId) }
   }
 
   /** Takes the end of a turn in; resolves once it is recorded, when the turn is kept. */
   async end (end: TurnEnd): Promise<RecordOutcome> {
     const records = this._state.end(end, Date.now())
     if (records.length === 0) return 'recorded'
-    if (end.turn !== undefined) return await this.append(records)
-    this._appendLazily(records)
-    return 'recorded'
+    if (end.turn === undefined) {
+      this._appendLazily(records)
+      return 'recorded'
+    }
+    const appended = this.append(records)
+    this._trackAccount(end.programId, appended.then(outcome => outcome === 'recorded'))
+    return await appended
   }
 
   chainOf (turnId: string): KeptTurn[] | undefined {
@@ -144,14 +172,6 @@
     this._appendLazily(this._state.importTurns(chain, Date.now()))
   }
 
-  /** Takes records that an earlier owner could not append. */
-  async adopt (records: readonly KeyedRecord[]): Promise<RecordOutcome> {
-    for (const record of records) {
-      if (record.value !== undefined) this._state.fold(record.value, Date.now())
-    }
-    return await this.append([...records])
-  }
-
   /** True when the log confirms that no other node has taken the partition over. */
   async confirm (): Promise<boolean> {
     return await this.append([]) === 'recorded'
@@ -161,17 +181,7 @@
   async append (records: KeyedRecord[]): Promise<RecordOutcome> {
     if (this._ownerState === OwnerState.Lost) return 'lost'
     return await new Promise(resolve => {
-      let timer: NodeJS.Timeout | undefined
-      const settle = (outcome: RecordOutcome): void => {
-        clearTimeout(timer)
-        resolve(outcome)
-      }
-      const watch = (): void => {
-        if (this._options.isLogDown()) resolve('held')
-        else timer = setTimeout(watch, HOLD_AFTER_MS / 3)
-      }
-      timer = setTimeout(watch, HOLD_AFTER_MS)
-      this._enqueue(records, settle)
+      this._enqueue(records, resolve)
       this._pump()
     })
   }
@@ -181,49 +191,62 @@
     if (this.isServing) this._appendLazily(this._state.expire(Date.now()))
   }
 
-  /** Waits until everything is in the log, for a while. */
+  /** Makes the records exact for the next owner and waits until they are in the log, for a while. */
   async flush (timeoutMs: number): Promise<void> {
+    this._appendLazily(this._state.seal(Date.now()))
     this._flushLazy()
     const untilMs = steadyNowMs() + timeoutMs
     while (this.backlog > 0 && this._ownerState === OwnerState.Serving && steadyNowMs() < untilMs) await delay(10)
   }
 
-  /** Gives the partition up and returns the records that didn't reach the log. */
-  lose (detail: string): KeyedRecord[] {
-    if (this._ownerState === OwnerState.Lost) return []
+  /** Gives the partition up; what didn't reach the log is lost. */
+  lose (detail: string): void {
+    if (this._ownerState === OwnerState.Lost) return
     this._ownerState = OwnerState.Lost
     clearTimeout(this._lazyTimer)
     const batches = [...(this._inFlight === undefined ? [] : [this._inFlight]), ...this._queue]
-    const records = [...batches.flatMap(batch => batch.records), ...this._lazyRecords]
+    this._options.write('partitionLost', { partition: this.partition, epoch: this.epoch, detail, unrecordedBatches: batches.length, unrecordedLazily: this._lazyRecords.length })
     this._queue = []
     this._lazyRecords = []
-    this._options.write('partitionLost', { partition: this.partition, epoch: this.epoch, detail, unrecorded: records.length })
     for (const batch of batches) {
       for (const settle of batch.waiters) settle('lost')
     }
-    return records
   }
 
   private _isLost (): boolean {
     return this._ownerState === OwnerState.Lost
   }
 
+  /** Sets an epoch above every one that was used before. Those of this generation belong to earlier starts of this node. */
   private async _raiseEpoch (): Promise<boolean> {
+    const endEpoch = (this._options.generation + 1) * EPOCHS_PER_GENERATION
     for (;;) {
       if (this._isLost()) return false
       const result = await this._options.log.append({
-        topic: TURN_TOPIC, partition: this.partition, records: [], producer: { producer: PRODUCER, epoch: this.epoch }, timeoutMs: RECOVER_TIMEOUT_MS
+        topic: TURN_TOPIC, partition: this.partition, records: [], producer: { producer: PRODUCER, epoch: this._epoch }, timeoutMs: RECOVER_TIMEOUT_MS
       })
       if (result.type === 'appended') return true
       if (result.type === 'fenced') {
-        this._options.onLost(this, 'fenced')
-        return false
+        const room = endEpoch - this._epoch - 1
+        if (room <= 1) {
+          this._options.onLost(this, 'fenced')
+          return false
+        }
+        this._epoch += 1 + this._options.random.nextInt(Math.ceil(room / 2))
+        continue
       }
       this._options.write('partitionRecoveryDelayed', { partition: this.partition, epoch: this.epoch, detail: describe(result) })
       await delay(RECOVER_RETRY_MS)
     }
   }
 
+  private _trackAccount (programId: string, recorded: Promise<boolean>): void {
+    const tracked = recorded.finally(() => {
+      if (this._accountAppends.get(programId) === tracked) this._accountAppends.delete(programId)
+    })
+    this._accountAppends.set(programId, tracked)
+  }
+
   private _enqueue (records: KeyedRecord[], waiter: (outcome: RecordOutcome) => void): void {
     const last = this._queue.at(-1)
     const bytes = sizeOf(records)
@@ -261,6 +284,7 @@
     const batch = this._queue.shift()
     if (batch === undefined) return
     this._inFlight = batch
+    this._waitingSinceMs = steadyNowMs()
     void this._appendBatch(batch)
   }
 
@@ -293,6 +317,7 @@
     }
     if (this._isLost()) return
     this._inFlight = undefined
+    this._waitingSinceMs = undefined
     for (const settle of batch.waiters) settle('recorded')
     this._pump()
   }
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -100,11 +100,11 @@
   private async _askForGrant (): Promise<void> {
     const { program, requestId, maxTokens } = this._request
     if (program === undefined) return
-    const { programId, sessionId, budgetTokens } = program
+    const { programId, budgetTokens } = program
     const previousTurnId = this._route.keepsTurns ? program.previousTurnId : undefined
-    const request: GrantRequest = { programId, requestId, sessionId, previousTurnId, budgetTokens, maxTokens }
+    const request: GrantRequest = { programId, requestId, previousTurnId, prompt: this._request.prompt, budgetTokens, maxTokens }
     const startedMs = steadyNowMs()
-    const outcome = await this._services.turns.grant(request, startedMs + this._timeLeftMs * GRANT_WAIT_SHARE)
+    const outcome = await this._services.turns.grant(request, this._route.keepsTurns, startedMs + this._timeLeftMs * GRANT_WAIT_SHARE)
     this._services.metrics.observeMs('grant_ms', steadyNowMs() - startedMs)
     if (this._isDone) {
       if (outcome.type === 'granted') this._report(0)
@@ -136,8 +136,9 @@
     void recorded.then(isRecorded => {
       if (this._isDone) return
       if (!isRecorded) {
-        this._openCall?.abort()
-        this._endWith({ type: this._sentCount > 0 ? 'unknown' : 'notRun' }, 'the reservation was lost')
+        const mayHaveRun = this._mayHaveRun || this._openCall !== undefined || this._head !== undefined
+        this._cancelCall()
+        this._endWith({ type: mayHaveRun ? 'unknown' : 'notRun' }, 'the reservation was lost')
         return
       }
       this._isGateOpen = true
@@ -171,7 +172,7 @@
         zone,
         durationMs: durations.expectedMs(this._route),
         prompt: this._request.prompt,
-        previousWorker: this._grant?.worker,
+        cached: this._grant?.cached ?? [],
         nowMs
       })
       if (worker !== undefined) return worker
@@ -189,7 +190,7 @@
     this._buffered = []
     this._bufferedBytes = 0
     statistics.begin(worker.workerId)
-    statistics.notePrompt(worker.workerId, request.prompt.map(part => part.id))
+    statistics.notePrompt(worker.workerId, request.prompt)
     this._openCall = workers.call({
       workerId: worker.workerId,
       address: worker.address,
@@ -212,7 +213,7 @@
 
   /** Rank of the route first; programs that have begun go before new ones. */
   private get _urgency (): number {
-    const hasBegun = this._request.program?.previousTurnId !== undefined || this._grant?.worker !== undefined
+    const hasBegun = this._request.program?.previousTurnId !== undefined || (this._grant?.cached.length ?? 0) > 0
     return Math.min(9, this._route.priority * 2 + (hasBegun ? 0 : 1))
   }
 
@@ -300,6 +301,7 @@
 
   private _onFailed (failure: CallFailure): void {
     const worker = this._worker
+    this._openCall = undefined
     const fate = failure.type === 'notSent' ? AttemptFate.NotSent : failure.type === 'refused' ? AttemptFate.Refused : AttemptFate.Unknown
     if (fate === AttemptFate.NotSent) this._unsentCount++
     else this._sentCount++
@@ -337,11 +339,11 @@
 
   private _expire (): void {
     if (this._isDone) return
-    const wasSent = this._sentCount > 0 || this._openCall !== undefined
+    const mayHaveRun = this._mayHaveRun || this._openCall !== undefined || this._head !== undefined
     this._cancelCall()
     this._report(this._usedTokens)
     if (this._hasBegun) this._abort('timed out')
-    else if (wasSent) this._refuse({ status: 504, reason: RefusalReason.TimedOut })
+    else if (mayHaveRun) this._refuse({ status: 504, reason: RefusalReason.TimedOut })
     else this._refuse({ status: 503, reason: RefusalReason.TimedOut, retryAfterMs: BUSY_RETRY_AFTER_MS })
   }
 
@@ -355,6 +357,7 @@
   private _cancelCall (): void {
     if (this._openCall === undefined || this._worker === undefined) return
     this._openCall.abort()
+    this._openCall = undefined
     this._services.statistics.end(this._worker.workerId)
   }
 
@@ -375,7 +378,8 @@
 
   private _turnEnd (usedTokens: number): TurnEnd {
     const { program, requestId } = this._request
-    return { programId: program?.programId ?? '', requestId, sessionId: program?.sessionId, usedTokens, worker: this._worker?.workerId }
+    const prompt = this._request.prompt.map((part, index, { length }) => index === length - 1 ? { ...part, tokens: part.tokens + usedTokens } : part)
+    return { programId: program?.programId ?? '', requestId, usedTokens, worker: this._sentCount > 0 ? this._worker?.workerId : undefined, prompt }
   }
 
   /** Tells the owner what the caller was given; the caller doesn't wait for it. */
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -2,7 +2,7 @@
 import { randomBytes } from 'node:crypto'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import {
-  createContainer, IRouteTable, IWorkerChoice, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type KeyedRecord, type LogFields, type LogLevel,
+  createContainer, IRandom, IRouteTable, IWorkerChoice, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type KeyedRecord, type LogFields, type LogLevel,
   type RouteDocument, type WorkerRegistration
 } from '@trefoilshunt/core'
 import { Packr } from 'msgpackr'
@@ -24,7 +24,6 @@
 /** Nodes announce themselves here, each under its name. */
 const NODE_TOPIC = 'keyed.nodes'
 const STATUS_PERIOD_MS = 200
-const MEMBER_TTL_MS = 1_500
 const ANNOUNCE_RETRY_MS = 300
 const APPEND_TIMEOUT_MS = 1_500
 const TOPIC_ASK_MS = 500
@@ -32,8 +31,6 @@
 const LOG_DOWN_MS = 1_100
 /** A document counts as certain while the log or a peer that reaches it confirmed it within this. */
 const DOCUMENT_CERTAIN_MS = 4_000
-/** Records of a lost partition are offered to its next owner for this long. */
-const ADOPT_MS = 10_000
 /** A stopping node takes new requests for this long: callers keep an old list of addresses that much. */
 const LINGER_MS = 3_000
 const STOP_POLL_MS = 20
@@ -58,6 +55,8 @@
   partitionCount: number
   maxRecordBytes: number
   maxAppendBytes: number
+  /** Time without a sign of this node after which the log gives its partitions to others. */
+  memberTtlMs: number
   /** Time between the request to stop and the end by force. */
   stopGraceMs: number
   documentTopic: string
@@ -131,15 +130,15 @@
       }
     })
     this._host = new PartitionHost({
-      member: `${node}/${this._self.incarnation}`,
+      member: node,
       log,
       partitionCount: _options.partitionCount,
       maxRecordBytes: _options.maxRecordBytes,
       maxAppendBytes: _options.maxAppendBytes,
-      memberTtlMs: MEMBER_TTL_MS,
-      isLogDown: () => this._isLogDown,
+      memberTtlMs: _options.memberTtlMs,
+      logSilenceMs: () => this._logSilenceMs,
+      random: container.resolve<IRandom>(IRandom),
       onChanged: () => this._sendStatus(),
-      onUnrecorded: (partition, records) => { void this._turns.adopt(partition, records, steadyNowMs() + ADOPT_MS) },
       write
     })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._host, mesh: this._mesh, directory: this._directory, write })
@@ -274,11 +273,6 @@
     return Math.min(this._host.joinSilenceMs, this._documentFollower.silenceMs, this._workerFollower.silenceMs, this._nodeFollower.silenceMs)
   }
 
-  /** True while neither this node nor any peer reaches the log. */
-  private get _isLogDown (): boolean {
-    return this._logSilenceMs > LOG_DOWN_MS && this._directory.alive.every(status => status.logSilenceMs > LOG_DOWN_MS)
-  }
-
   private get _isDocumentCertain (): boolean {
     return this._documentFollower.silenceMs < DOCUMENT_CERTAIN_MS ||
       this._directory.alive.some(status => status.logSilenceMs < DOCUMENT_CERTAIN_MS && status.documentVersion <= this._routes.version)
--- a/packages/node/src/node/routed/turnService.ts
+++ b/packages/node/src/node/routed/turnService.ts
@@ -1,5 +1,5 @@
 /** Grants and ends of turns, at whichever node owns the program's partition. */
-import { type GrantRequest, hash32, type KeptTurn, type KeyedRecord, joinChain, type LogFields, type TurnEnd } from '@trefoilshunt/core'
+import { type CachedPart, type GrantRequest, hash32, joinChain, type KeptTurn, type LogFields, type TurnEnd } from '@trefoilshunt/core'
 import type { EndReply, GrantReply, PeerReply, PeerRequest } from '../../common/routed/peerMessages.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
 import type { NodeDirectory } from './nodeDirectory.js'
@@ -19,7 +19,8 @@
   type: 'granted'
   /** Inputs and outputs of the earlier turns, in order. */
   chain: Uint8Array[]
-  worker?: string
+  /** Parts of the prompt that workers have cached. */
+  cached: CachedPart[]
   /** False when the reservation was lost; nothing may then be given to the caller. */
   recorded: Promise<boolean> | undefined
 }
@@ -45,14 +46,14 @@
     return hash32(programId) % this._options.partitionCount
   }
 
-  /** Asks the owner for a turn; tries again until `untilMs` while no owner can be certain. */
-  async grant (request: GrantRequest, untilMs: number): Promise<GrantOutcome> {
+  /** Asks the owner for a turn, which is kept if `isKept`; tries again until `untilMs` while no owner can be certain. */
+  async grant (request: GrantRequest, isKept: boolean, untilMs: number): Promise<GrantOutcome> {
     const partition = this.partitionOf(request.programId)
     let outcome: GrantOutcome = { type: 'unavailable', detail: 'no owner is known' }
     do {
       outcome = this._options.host.find(partition) === undefined
-        ? await this._grantAtPeer(partition, request)
-        : await this._grantHere(partition, request)
+        ? await this._grantAtPeer(partition, request, isKept)
+        : await this._grantHere(partition, request, isKept)
       if (outcome.type !== 'unavailable') return outcome
       await delay(OWNER_RETRY_MS)
     } while (steadyNowMs() < untilMs)
@@ -60,12 +61,12 @@
   }
 
   /** Reports the end of a turn until the owner has taken it in, or `untilMs` has come. */
-  async end (end: TurnEnd, untilMs: number): Promise<'recorded' | 'held' | 'unavailable'> {
+  async end (end: TurnEnd, untilMs: number): Promise<'recorded' | 'unavailable'> {
     const partition = this.partitionOf(end.programId)
     let retryMs = OWNER_RETRY_MS
     for (;;) {
       const reply = await this._endOnce(partition, end, untilMs)
-      if (reply.type === 'ended') return reply.isDurable ? 'recorded' : 'held'
+      if (reply.type === 'ended') return 'recorded'
       if (steadyNowMs() >= untilMs) {
         this._options.write('turnEndUnreported', { requestId: end.requestId, program: end.programId, partition, usedTokens: end.usedTokens, detail: reply.detail })
         return 'unavailable'
@@ -75,27 +76,11 @@
     }
   }
 
-  /** Hands records of a lost partition to its next owner. */
-  async adopt (partition: number, records: KeyedRecord[], untilMs: number): Promise<void> {
-    while (steadyNowMs() < untilMs) {
-      const local = this._options.host.find(partition)
-      if (local !== undefined) {
-        if (await local.adopt(records) !== 'lost') return
-      } else {
-        const owner = this._options.directory.ownerOf(partition)
-        const reply = owner === undefined ? undefined : await this._options.mesh.ask(owner, { type: 'adopt', partition, records }, OWNER_TIMEOUT_MS)
-        if (reply?.type === 'adopted' && reply.isDone) return
-      }
-      await delay(OWNER_RETRY_MS * 4)
-    }
-    this._options.write('recordsAbandoned', { partition, records: records.length })
-  }
-
   /** Answers a peer; false when the request isn't about turns. */
   handle (request: PeerRequest, respond: PeerResponder): boolean {
     switch (request.type) {
       case 'grant':
-        void this._serveGrant(request.partition, request.request, respond)
+        void this._serveGrant(request.partition, request.request, request.isKept, respond)
         return true
       case 'end':
         void this._endHere(request.partition, request.end).then(reply => respond(reply, true))
@@ -103,56 +88,51 @@
       case 'findChain':
         void this._findHere(request.turnId).then(reply => respond(reply, true))
         return true
-      case 'adopt': {
-        const owner = this._options.host.find(request.partition)
-        if (owner === undefined) respond({ type: 'adopted', isDone: false }, true)
-        else void owner.adopt(request.records).then(outcome => respond({ type: 'adopted', isDone: outcome !== 'lost' }, true))
-        return true
-      }
       default: return false
     }
   }
 
-  private async _serveGrant (partition: number, request: GrantRequest, respond: PeerResponder): Promise<void> {
-    const outcome = await this._grantHere(partition, request)
+  private async _serveGrant (partition: number, request: GrantRequest, isKept: boolean, respond: PeerResponder): Promise<void> {
+    const outcome = await this._grantHere(partition, request, isKept)
     if (outcome.type !== 'granted') {
       respond(outcome, true)
       return
     }
-    const { chain, worker, recorded } = outcome
-    respond({ type: 'granted', chain, worker, isRecorded: recorded === undefined }, recorded === undefined)
+    const { chain, cached, recorded } = outcome
+    respond({ type: 'granted', chain, cached, isRecorded: recorded === undefined }, recorded === undefined)
     if (recorded === undefined) return
     const isRecorded = await recorded
     respond(isRecorded ? { type: 'recorded' } : { type: 'unavailable', detail: 'the partition was lost' }, true)
   }
 
-  private async _grantHere (partition: number, request: GrantRequest): Promise<GrantOutcome> {
+  private async _grantHere (partition: number, request: GrantRequest, isKept: boolean): Promise<GrantOutcome> {
     const owner = this._options.host.find(partition)
     if (owner === undefined) return { type: 'unavailable', detail: 'not the owner' }
-    let grant = owner.grant(request)
+    let grant = owner.grant(request, isKept)
     if (grant.type === 'noSuchTurn' && request.previousTurnId !== undefined) {
       const found = await this._findAnywhere(request.previousTurnId)
       if (found === 'uncertain') return { type: 'unavailable', detail: 'not every partition could be searched' }
       if (found !== undefined) {
         owner.importTurns(found)
-        grant = owner.grant(request)
+        grant = owner.grant(request, isKept)
       }
     }
     if (grant.type === 'granted') {
-      const { chain, worker, recorded } = grant
-      return { type: 'granted', chain: joinChain(chain, new Uint8Array(0)).slice(0, -1), worker, recorded }
+      const { chain, cached, recorded } = grant
+      return { type: 'granted', chain: joinChain(chain, new Uint8Array(0)).slice(0, -1), cached, recorded }
     }
+    if (grant.type === 'stalled') return { type: 'unavailable', detail: 'the log takes no records' }
     if (!await owner.confirm()) return { type: 'unavailable', detail: 'the ownership is not confirmed' }
     return grant
   }
 
-  private async _grantAtPeer (partition: number, request: GrantRequest): Promise<GrantOutcome> {
+  private async _grantAtPeer (partition: number, request: GrantRequest, isKept: boolean): Promise<GrantOutcome> {
     const owner = this._options.directory.ownerOf(partition)
     if (owner === undefined) return { type: 'unavailable', detail: 'no owner is known' }
     return await new Promise(resolve => {
       let settleRecorded: ((isRecorded: boolean) => void) | undefined
       const timer = setTimeout(() => resolve({ type: 'unavailable', detail: `${owner} did not answer` }), OWNER_TIMEOUT_MS)
-      this._options.mesh.request(owner, { type: 'grant', partition, request }, {
+      this._options.mesh.request(owner, { type: 'grant', partition, request, isKept }, {
         timeoutMs: RECORDED_TIMEOUT_MS,
         onReply: reply => {
           clearTimeout(timer)
@@ -176,7 +156,7 @@
   private async _endHere (partition: number, end: TurnEnd): Promise<EndReply> {
     const outcome = await this._options.host.find(partition)?.end(end)
     if (outcome === undefined || outcome === 'lost') return { type: 'unavailable', detail: outcome === undefined ? 'not the owner' : 'the partition was lost' }
-    return { type: 'ended', isDurable: outcome === 'recorded' }
+    return { type: 'ended' }
   }
 
   /** Searches the partitions served here; those whose ownership is confirmed are named. */
@@ -215,9 +195,9 @@
 function toOutcome (reply: PeerReply | undefined, owner: string, onSettle: (settle: (isRecorded: boolean) => void) => void): GrantOutcome {
   if (reply === undefined || !isGrantReply(reply)) return { type: 'unavailable', detail: `${owner} did not answer` }
   if (reply.type !== 'granted') return reply
-  const { chain, worker, isRecorded } = reply
+  const { chain, cached, isRecorded } = reply
   const recorded = isRecorded ? undefined : new Promise<boolean>(resolve => onSettle(resolve))
-  return { type: 'granted', chain, worker, recorded }
+  return { type: 'granted', chain, cached, recorded }
 }
 
 function isGrantReply (reply: PeerReply): reply is Exclude<GrantReply, { type: 'recorded' }> {
--- /dev/null
+++ b/packages/node/src/routed.ts
@@ -0,0 +1,13 @@
+/** What a host of routed requests needs, without the parts for the project's own caller interface. */
+export * from './common/logLine.js'
+export * from './common/metrics.js'
+export * from './common/routed/eventFrames.js'
+export * from './common/routed/logClient.js'
+export * from './common/routed/peerMessages.js'
+export * from './common/routed/routedRequest.js'
+export * from './common/routed/workerClient.js'
+export { LineWriter, openStandardOutput } from './node/lineWriter.js'
+export { EventLog, type IEventLog } from './node/logger.js'
+export { PeerMesh, splitAddress } from './node/routed/peerMesh.js'
+export { type IRoutedCodec, RoutedDaemon, type RoutedDaemonOptions } from './node/routed/routedDaemon.js'
+export { steadyNowMs } from './node/steadyClock.js'
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,22 +1,70 @@
-/** Bundles the daemon into one file under `target/`, so that it starts fast and needs nothing else. */
+/**
+ * Bundles the daemon into one script under `target/` and compiles it ahead, so that a restarted node serves soon:
+ * reading and compiling the sources would take most of its start.
+ */
+import { readFileSync, writeFileSync } from 'node:fs'
+import { createRequire } from 'node:module'
+import { resolve } from 'node:path'
+import { Script } from 'node:vm'
 import { build } from 'esbuild'
 
-const packages = ['core', 'node', 'protocol']
+const OUT = 'target/trefoilshuntd.bundle.js'
+const CACHE = 'target/trefoilshuntd.cache'
+const LOADER = 'target/trefoilshuntd.cjs'
+
+/** Modules that cost time at each start and that the daemon never uses, with what stands in for them. */
+const LEFT_OUT = {
+  // Native text decoding of msgpackr; optional.
+  'msgpackr-extract': 'module.exports = undefined',
+  // The client of undici speaks HTTP/1.1 here.
+  'node:http2': 'module.exports = { constants: {} }',
+  undici: `exports.Pool = require('undici/lib/dispatcher/pool.js')
+    require('undici/lib/dispatcher/dispatcher.js').prototype.request = require('undici/lib/api/api-request.js')`
+}
+
+const leaveOut = {
+  name: 'leave-out',
+  setup (builder) {
+    builder.onResolve({ filter: /^(msgpackr-extract|node:http2|undici)$/ }, ({ path }) => ({ path, namespace: 'left-out' }))
+    builder.onLoad({ filter: /.*/, namespace: 'left-out' }, ({ path }) => ({ contents: LEFT_OUT[path], resolveDir: process.cwd() }))
+  }
+}
 
 await build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/trefoilshuntd.mjs',
+  outfile: OUT,
   bundle: true,
   platform: 'node',
-  format: 'esm',
+  format: 'cjs',
   target: 'node20',
   conditions: ['development'],
   mainFields: ['module', 'main'],
-  minify: false,
+  minify: true,
+  keepNames: true,
   legalComments: 'none',
-  external: ['msgpackr-extract'],
-  alias: Object.fromEntries(packages.map(name => [`@trefoilshunt/${name}`, `./packages/${name}/src/index.ts`])),
-  // CommonJS dependencies ask for `require`, which ES modules lack.
-  banner: { js: "import { createRequire as createRequireForBundle } from 'node:module'; const require = createRequireForBundle(import.meta.url);" },
+  define: { 'import.meta.url': 'bundleUrl' },
+  banner: { js: "const bundleUrl = require('node:url').pathToFileURL(__filename).href;" },
+  plugins: [leaveOut],
   logLevel: 'warning'
 })
+
+writeFileSync(LOADER, `'use strict'
+const { readFileSync } = require('node:fs')
+const { join } = require('node:path')
+const { Script } = require('node:vm')
+const read = name => readFileSync(join(__dirname, name))
+const filename = join(__dirname, 'trefoilshuntd.bundle.js')
+const source = '(function (exports, require, module, __filename, __dirname) {' + read('trefoilshuntd.bundle.js').toString() + '\\n})'
+const script = new Script(source, { filename, cachedData: read('trefoilshuntd.cache') })
+if (script.cachedDataRejected) process.stdout.write('level=info event=codeCacheRejected\\n')
+script.runInThisContext().call(module.exports, module.exports, require, module, filename, __dirname)
+`)
+
+// Runs the bundle's top level without settings, so that the functions of a start are in the cache.
+const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(OUT, 'utf8')}\n})`
+const script = new Script(source, { filename: OUT })
+const require = createRequire(import.meta.url)
+delete process.env.TREFOILSHUNT_NODE_FILE
+process.env.TREFOILSHUNT_WARM_UP = '1'
+script.runInThisContext().call({}, {}, require, { exports: {} }, resolve(OUT), resolve('target'))
+writeFileSync(CACHE, script.createCachedData())
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -27,7 +27,7 @@
 
 async function main (): Promise<void> {
   const pattern = process.argv[2] ?? ''
-  const files = [...findTests('packages'), ...findTests('examples')].filter(file => file.includes(pattern))
+  const files = [...findTests('packages'), ...findTests('platform'), ...findTests('examples')].filter(file => file.includes(pattern))
   const globals = globalThis as UvuGlobals
   globals.UVU_DEFER = 1
   globals.UVU_QUEUE = []
