A repeated report of a turn's end waits for the record of the first

Ruled out: the fence and the fold, which had the turn's record nowhere. Change: the owner keeps the ends that are on their way and gives a repeat the same fate; turns that would need a record are not granted while appends wait.

--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -87,6 +87,11 @@
     return turn !== undefined
   }
 
+  /** True when granting the turn needs no record. */
+  isCovered ({ programId, requestId, budgetTokens, maxTokens }: GrantRequest): boolean {
+    return budgetTokens === undefined || this._ledger.isCovered({ programId, requestId, budgetTokens, maxTokens })
+  }
+
   /** Decides whether a turn may run, and reserves its tokens. */
   grant (request: GrantRequest, nowMs: number): GrantDecision {
     const { programId, requestId, previousTurnId, prompt, budgetTokens, maxTokens } = request
--- a/packages/core/src/common/turns/tokenLedger.ts
+++ b/packages/core/src/common/turns/tokenLedger.ts
@@ -73,6 +73,13 @@
     return TokenReservation.Extended
   }
 
+  /** True when the newest record covers the turn, so that it needs no other. */
+  isCovered ({ programId, requestId, maxTokens }: ReserveOptions): boolean {
+    const account = this._accounts.get(programId)
+    if (account === undefined) return false
+    return account.openTurns.has(requestId) || committedTokens(account) + maxTokens <= account.allowedTokens
+  }
+
   /** Replaces a reservation by what was used; false when the turn had none, as after a repeated report. */
   settle (programId: string, requestId: string, usedTokens: number): boolean {
     const account = this._accounts.get(programId)
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -68,6 +68,8 @@
   private _lazyTimer: NodeJS.Timeout | undefined
   private _inFlight: Batch | undefined
   private _waitingSinceMs: number | undefined
+  /** Ends of kept turns that are on their way to the log, by request. */
+  private readonly _pendingEnds = new Map<string, Promise<RecordOutcome>>()
   /** The newest append of each account that is on its way. */
   private readonly _accountAppends = new Map<string, Promise<boolean>>()
   private _appendTimeoutMs = FIRST_APPEND_TIMEOUT_MS
@@ -142,7 +144,7 @@
 
   /** Decides on a turn; its reservation is on its way to the log when this returns. */
   grant (request: GrantRequest, isKept: boolean): Grant {
-    if (isKept && this.isStalled) return { type: 'stalled' }
+    if (this.isStalled && (isKept || !this._state.isCovered(request))) return { type: 'stalled' }
     const decision = this._state.grant(request, Date.now())
     if (decision.type !== 'granted') return decision
     const { chain, records, cached } = decision
@@ -152,6 +154,8 @@
 
   /** Takes the end of a turn in; resolves once it is recorded, when the turn is kept. */
   async end (end: TurnEnd): Promise<RecordOutcome> {
+    const pending = this._pendingEnds.get(end.requestId)
+    if (pending !== undefined) return await pending
     const records = this._state.end(end, Date.now())
     if (records.length === 0) return 'recorded'
     if (end.turn === undefined) {
@@ -160,7 +164,10 @@
     }
     const appended = this.append(records)
     this._trackAccount(end.programId, appended.then(outcome => outcome === 'recorded'))
-    return await appended
+    this._pendingEnds.set(end.requestId, appended)
+    const outcome = await appended
+    this._pendingEnds.delete(end.requestId)
+    return outcome
   }
 
   chainOf (turnId: string): KeptTurn[] | undefined {
--- /dev/null
+++ b/packages/node/test/node/routed/fakeLog.ts
@@ -0,0 +1,68 @@
+/** An `ILogClient` over the stand-in's state machine, with faults on request. */
+import { KeyedLog } from '@trefoilshunt/standins'
+import type { AppendRequest, AppendResult, ILogClient, JoinRequest, JoinResult, NewestRequest, NewestResult, ReadRequest, ReadResult } from '@trefoilshunt/node'
+
+const PAGE = 50
+
+export class FakeLog implements ILogClient {
+  isDown = false
+  /** Appends that are carried out without an answer, from now on. */
+  lostAnswers = 0
+  /** Appends asked for so far, without those that failed. */
+  appendCount = 0
+
+  constructor (readonly log = new KeyedLog({ partitionCount: 4, nowMs: () => performance.now() })) {}
+
+  async append ({ topic, partition, records, producer }: AppendRequest): Promise<AppendResult> {
+    await pause()
+    if (this.isDown) return { type: 'refused', detail: 'down' }
+    this.appendCount++
+    const answer = this.log.append(topic, partition, records, producer)
+    if (this.lostAnswers > 0) {
+      this.lostAnswers--
+      return { type: 'unknown', detail: 'lost' }
+    }
+    return answer.type === 'appended' ? { type: 'appended', endOffset: answer.end } : answer
+  }
+
+  async read ({ topic, partition, fromOffset, waitMs }: ReadRequest): Promise<ReadResult> {
+    await pause()
+    if (this.isDown) return { type: 'failed', detail: 'down' }
+    let found = this.log.read(topic, partition, fromOffset)
+    if (found !== undefined && found.records.length === 0) {
+      await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, waitMs)
+        this.log.onNextAppend(topic, partition, () => {
+          clearTimeout(timer)
+          resolve()
+        })
+      })
+      found = this.log.read(topic, partition, fromOffset)
+    }
+    if (found === undefined) return { type: 'truncated', firstOffset: this.log.firstOffset(topic, partition) }
+    return { type: 'read', records: found.records, nextOffset: fromOffset + found.records.length }
+  }
+
+  async readNewest ({ topic, partition, afterKey }: NewestRequest): Promise<NewestResult> {
+    await pause()
+    if (this.isDown) return { type: 'failed', detail: 'down' }
+    const { items, hasMore, end } = this.log.newest(topic, partition, afterKey, PAGE)
+    return { type: 'page', records: items, hasMore, endOffset: end }
+  }
+
+  async join ({ group, member, ttlMs, generation }: JoinRequest): Promise<JoinResult> {
+    await pause()
+    if (this.isDown) return { type: 'failed', detail: 'down' }
+    return { type: 'joined', ...this.log.join(group, member, ttlMs, generation) }
+  }
+
+  async leave (group: string, member: string): Promise<void> {
+    this.log.leave(group, member)
+  }
+
+  async close (): Promise<void> {}
+}
+
+async function pause (): Promise<void> {
+  await new Promise<void>(resolve => { setTimeout(resolve, 1) })
+}
--- /dev/null
+++ b/packages/node/test/node/routed/partitionOwner.test.ts
@@ -0,0 +1,140 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { type GrantRequest, type KeptTurn, SeededRandom, type TurnEnd } from '@trefoilshunt/core'
+import { EPOCHS_PER_GENERATION, PartitionOwner, TURN_TOPIC } from '../../../src/node/routed/partitionOwner.js'
+import { FakeLog } from './fakeLog.js'
+
+const MAX_RECORD_BYTES = 4_096
+
+interface CreateOptions { generation?: number, seed?: number, logSilenceMs?: number, onLost?: (detail: string) => void }
+
+function createOwner (log: FakeLog, { generation = 1, seed = 1, logSilenceMs = 0, onLost }: CreateOptions = {}): PartitionOwner {
+  return new PartitionOwner({
+    partition: 0,
+    generation,
+    log,
+    maxRecordBytes: MAX_RECORD_BYTES,
+    maxAppendBytes: 100_000,
+    logSilenceMs: () => logSilenceMs,
+    random: new SeededRandom(seed),
+    onLost: (owner, detail) => {
+      owner.lose(detail)
+      onLost?.(detail)
+    },
+    onServing: () => {},
+    write: () => {}
+  })
+}
+
+function createEnd (turnId: string, previousTurnId?: string): TurnEnd {
+  const turn: KeptTurn = { turnId, programId: 'p', previousTurnId, input: Buffer.from(turnId), output: Buffer.from('out'), keepMs: 60_000 }
+  return { programId: 'p', requestId: turnId, usedTokens: 10, worker: 'w', prompt: [], turn }
+}
+
+function createGrant (requestId: string, fields: Partial<GrantRequest> = {}): GrantRequest {
+  return { programId: 'p', requestId, prompt: [], budgetTokens: 1_000, maxTokens: 100, ...fields }
+}
+
+async function wait (ms: number): Promise<void> {
+  await new Promise<void>(resolve => { setTimeout(resolve, ms) })
+}
+
+test('the report of an end that is repeated while the log is down waits for the record like the first', async () => {
+  const log = new FakeLog()
+  const owner = createOwner(log)
+  await owner.recover()
+  log.isDown = true
+  const outcomes: string[] = []
+  void owner.end(createEnd('a')).then(outcome => outcomes.push(outcome))
+  await wait(20)
+  void owner.end(createEnd('a')).then(outcome => outcomes.push(outcome))
+  await wait(60)
+  assert.equal(outcomes, [], 'nothing is told before the record is in the log')
+  log.isDown = false
+  await wait(300)
+  assert.equal(outcomes, ['recorded', 'recorded'])
+  const successor = createOwner(log, { generation: 2 })
+  await successor.recover()
+  assert.is(successor.chainOf('a')?.length, 1)
+})
+
+test('an end that is not recorded when the partition is lost is told as lost', async () => {
+  const log = new FakeLog()
+  const owner = createOwner(log)
+  await owner.recover()
+  log.isDown = true
+  const outcome = owner.end(createEnd('a'))
+  await wait(10)
+  owner.lose('test')
+  assert.is(await outcome, 'lost')
+})
+
+test('an append whose answer was lost is repeated and lands once', async () => {
+  const log = new FakeLog()
+  const owner = createOwner(log)
+  await owner.recover()
+  log.lostAnswers = 2
+  assert.is(await owner.end(createEnd('a')), 'recorded')
+  const records = log.log.read(TURN_TOPIC, 0, 0)?.records ?? []
+  assert.is(records.filter(record => record.key.startsWith('t/a')).length, 1)
+})
+
+test('an owner that was replaced records nothing more', async () => {
+  const log = new FakeLog()
+  let lost = ''
+  const first = createOwner(log, { onLost: detail => { lost = detail } })
+  await first.recover()
+  const second = createOwner(log, { generation: 2 })
+  await second.recover()
+  const grant = first.grant(createGrant('a'), true)
+  assert.is(grant.type, 'granted')
+  assert.is(grant.type === 'granted' ? await grant.recorded : true, false)
+  assert.is(lost, 'fenced')
+  assert.not.ok(await first.confirm())
+})
+
+test('a node that restarts within a generation takes a higher epoch than before', async () => {
+  const log = new FakeLog()
+  const epochs: number[] = []
+  for (let start = 0; start < 12; start++) {
+    const owner = createOwner(log, { seed: start })
+    await owner.recover()
+    assert.ok(owner.isServing)
+    assert.is(await owner.end(createEnd(`t${start}`)), 'recorded')
+    epochs.push(owner.epoch)
+  }
+  assert.equal(epochs, [...epochs].sort((left, right) => left - right))
+  assert.is(new Set(epochs).size, epochs.length)
+  assert.ok(epochs.every(epoch => epoch < 2 * EPOCHS_PER_GENERATION))
+})
+
+test('while the log takes no records, no turn is granted that would have to be kept', async () => {
+  const log = new FakeLog()
+  const owner = createOwner(log)
+  await owner.recover()
+  log.isDown = true
+  void owner.end({ ...createEnd('a'), programId: 'q' })
+  await wait(500)
+  assert.is(owner.grant(createGrant('b'), true).type, 'stalled')
+  assert.is(owner.grant(createGrant('c'), false).type, 'stalled', 'a program that nothing was recorded of has no tokens allowed')
+  log.isDown = false
+  await wait(300)
+  assert.is(owner.grant(createGrant('b'), true).type, 'granted')
+  owner.lose('end')
+})
+
+test('a program goes on within what was allowed ahead while the log is down', async () => {
+  const log = new FakeLog()
+  const owner = createOwner(log)
+  await owner.recover()
+  const first = owner.grant(createGrant('a'), false)
+  assert.ok(first.type === 'granted' && await first.recorded)
+  log.isDown = true
+  void owner.end({ ...createEnd('other'), programId: 'q' })
+  await wait(500)
+  const ahead = owner.grant(createGrant('b'), false)
+  assert.ok(ahead.type === 'granted' && ahead.recorded === undefined)
+  owner.lose('end')
+})
+
+test.run()
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,6 @@
 /** Stand-ins of the systems that trefoilshunt talks to. */
 export * from './common/answers.js'
+export * from './common/keyedLog.js'
 export * from './common/logService.js'
 export * from './common/modelEngine.js'
 export * from './common/standinHost.js'
