--- a/packages/node/src/node/routed/partitionHost.ts
+++ b/packages/node/src/node/routed/partitionHost.ts
@@ -2,11 +2,17 @@
 import type { IRandom, LogFields } from '@trefoilshunt/core'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
-import { EPOCHS_PER_GENERATION, PartitionOwner, TURN_TOPIC } from './partitionOwner.js'
+import { EPOCHS_PER_GENERATION, OwnerState, PartitionOwner, TURN_TOPIC } from './partitionOwner.js'
 
 const GROUP = 'turn-owners'
-/** Joins within one time to live: two may get lost. */
-const JOINS_PER_TTL = 3
+/** Joins within one time to live: three may get lost. */
+const JOINS_PER_TTL = 4
+/** Pause between joins while the membership changes: partitions move only when their holder joins again. */
+const SETTLING_JOIN_MS = 50
+/** After a change of the membership it counts as settling for this long. */
+const SETTLING_MS = 700
+/** Partitions that are read at the same time; the rest may have moved on before their turn comes. */
+const PARALLEL_RECOVERIES = 3
 const LEAVE_TIMEOUT_MS = 800
 const EXPIRE_PERIOD_MS = 5_000
 
@@ -37,6 +43,8 @@
   /** Generations in which a partition was lost to another node; only a later one may be tried again. */
   private readonly _fencedGenerations = new Map<number, number>()
   private _generation = 0
+  private _changedAtMs = Number.NEGATIVE_INFINITY
+  private _recoveries = 0
   private _lastJoinMs = Number.NEGATIVE_INFINITY
   private _lastJoinWallMs = 0
   private _isStopped = false
@@ -89,7 +97,6 @@
 
   private async _keepJoined (): Promise<void> {
     const { member, memberTtlMs, log } = this._options
-    const periodMs = memberTtlMs / JOINS_PER_TTL
     while (!this._isStopped) {
       const sentMs = steadyNowMs()
       const sentWallMs = Date.now()
@@ -102,7 +109,9 @@
       } else {
         this._options.write('groupJoinFailed', { detail: result.detail, sinceLastMs: Math.round(sentMs - this._lastJoinMs) })
       }
-      await delay(Math.max(periodMs / 4, periodMs - (steadyNowMs() - sentMs)))
+      const isSettling = result.type === 'joined' && steadyNowMs() - this._changedAtMs < SETTLING_MS
+      const periodMs = isSettling ? SETTLING_JOIN_MS : memberTtlMs / JOINS_PER_TTL
+      await delay(Math.max(SETTLING_JOIN_MS / 2, periodMs - (steadyNowMs() - sentMs)))
     }
   }
 
@@ -110,6 +119,7 @@
     const hasChanged = generation !== this._generation
     this._generation = generation
     const mine = new Set(partitions.filter(partition => partition < this._options.partitionCount))
+    if (hasChanged) this._changedAtMs = steadyNowMs()
     if (hasChanged) this._options.write('partitionsAssigned', { generation, partitions: [...mine].join(',') })
     for (const owner of [...this._owners.values()]) {
       if (!mine.has(owner.partition)) this._lose(owner, 'reassigned')
@@ -135,7 +145,19 @@
       onServing: onChanged
     })
     this._owners.set(partition, owner)
-    void owner.recover()
+    this._recoverNext()
+  }
+
+  private _recoverNext (): void {
+    for (const owner of this._owners.values()) {
+      if (this._recoveries >= PARALLEL_RECOVERIES) return
+      if (owner.state !== OwnerState.Waiting) continue
+      this._recoveries++
+      void owner.recover().finally(() => {
+        this._recoveries--
+        this._recoverNext()
+      })
+    }
   }
 
   private _lose (owner: PartitionOwner, detail: string): void {
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -18,7 +18,7 @@
 /** A log that answered nothing for this long counts as down: two joins of the member group. */
 const LOG_SILENT_MS = 1_000
 
-export const OwnerState = { Recovering: 'recovering', Serving: 'serving', Lost: 'lost' } as const
+export const OwnerState = { Waiting: 'waiting', Recovering: 'recovering', Serving: 'serving', Lost: 'lost' } as const
 export type OwnerState = typeof OwnerState[keyof typeof OwnerState]
 
 export interface PartitionOwnerOptions {
@@ -61,7 +61,7 @@
   readonly partition: number
   private readonly _state: PartitionState
   private _epoch: number
-  private _ownerState: OwnerState = OwnerState.Recovering
+  private _ownerState: OwnerState = OwnerState.Waiting
   private _sequence = 0
   private _queue: Batch[] = []
   private _lazyRecords: KeyedRecord[] = []
@@ -113,11 +113,12 @@
   /** Fences earlier owners, then reads everything they recorded. */
   async recover (): Promise<void> {
     const startedMs = steadyNowMs()
+    this._ownerState = OwnerState.Recovering
     if (!await this._raiseEpoch()) return
     let afterKey: string | undefined
     let count = 0
     for (;;) {
-      if (this._ownerState === OwnerState.Lost) return
+      if (this._isLost()) return
       const page = await this._options.log.readNewest({ topic: TURN_TOPIC, partition: this.partition, afterKey, timeoutMs: RECOVER_TIMEOUT_MS })
       if (page.type === 'failed') {
         await delay(RECOVER_RETRY_MS)
