--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -16,7 +16,7 @@
 /** Callers come back after this when the owner of their program is being replaced. */
 const OWNER_RETRY_AFTER_MS = 300
 /** Part of the time left for which a request may wait for the owner of its program. */
-const GRANT_WAIT_SHARE = 0.5
+const GRANT_WAIT_SHARE = 0.4
 /** A kept turn's answer is finished at the latest this long before its caller gives up. */
 const END_MARGIN_MS = 60
 /** Reports of turns whose caller doesn't wait go on for this long. */
