Partitions are handed over exactly, and serve before their history is read

Change: an owner that is told to give up records exact accounts before it joins with the new generation; accounts come first in the order of keys, so turns that continue none are granted after the first page; half of what is left of a budget is allowed ahead.

--- a/packages/core/src/common/turns/tokenLedger.ts
+++ b/packages/core/src/common/turns/tokenLedger.ts
@@ -9,8 +9,6 @@
   allowedTokens: number
   /** As the program's last turn stated it. */
   budgetTokens: number
-  /** The most tokens of the program's last turn. */
-  turnTokens: number
 }
 
 export interface ReserveOptions {
@@ -34,10 +32,11 @@
 
 /** Open entry for tokens that an earlier owner had allowed and that may have been used. */
 const UNKNOWN_USE = ''
-/** Turns that a record allows ahead, so that most turns need no record of their own and short outages are bridged. */
-const TURNS_AHEAD = 2
-/** Largest part of what is left of a budget that is allowed ahead: all of it counts as used if the owner dies. */
-const SHARE_AHEAD = 0.3
+/**
+ * Part of what is left of a budget that a record allows ahead, so that most turns need no record of their own and programs
+ * go on while the log is down. All of it counts as used if the owner dies; programs need about half of their budgets.
+ */
+const SHARE_AHEAD = 0.5
 
 /**
  * Accounts of the programs of one partition. A turn reserves its maximum before it runs and settles what its caller was
@@ -60,13 +59,12 @@
   }
 
   reserve ({ programId, requestId, budgetTokens, maxTokens }: ReserveOptions): TokenReservation {
-    const account = this._accounts.get(programId) ?? { usedTokens: 0, openTurns: new Map<string, number>(), allowedTokens: 0, budgetTokens, turnTokens: maxTokens }
+    const account = this._accounts.get(programId) ?? { usedTokens: 0, openTurns: new Map<string, number>(), allowedTokens: 0, budgetTokens }
     if (account.openTurns.has(requestId)) return TokenReservation.Covered
     const committed = committedTokens(account) + maxTokens
     if (committed > budgetTokens) return TokenReservation.Spent
     account.openTurns.set(requestId, maxTokens)
     account.budgetTokens = budgetTokens
-    account.turnTokens = maxTokens
     this._accounts.set(programId, account)
     if (committed <= account.allowedTokens) return TokenReservation.Covered
     this.allowAhead(programId)
@@ -88,13 +86,13 @@
     return true
   }
 
-  /** Allows some turns ahead; to be recorded before it is used. */
+  /** Allows tokens ahead; to be recorded before they are used. */
   allowAhead (programId: string): void {
     const account = this._accounts.get(programId)
     if (account === undefined) return
     const committed = committedTokens(account)
     const left = Math.max(0, account.budgetTokens - committed)
-    account.allowedTokens = committed + Math.floor(Math.min(TURNS_AHEAD * account.turnTokens, SHARE_AHEAD * left))
+    account.allowedTokens = committed + Math.floor(SHARE_AHEAD * left)
   }
 
   /** Withdraws what was allowed ahead; returns the programs whose accounts have to be recorded. */
--- a/packages/core/src/common/turns/turnRecords.ts
+++ b/packages/core/src/common/turns/turnRecords.ts
@@ -15,6 +15,8 @@
 /** Room of a record for its key and the fields around a part's bytes. */
 const RECORD_OVERHEAD_BYTES = 512
 
+const ACCOUNT_PREFIX = 'p/'
+
 const packr = new Packr({ useRecords: false, mapsAsObjects: true })
 
 /** A record read back. */
@@ -24,8 +26,8 @@
 
 /** The record of a program's account. `updatedAtMs` is wall-clock time. */
 export function encodeAccount (programId: string, account: ProgramAccount, updatedAtMs: number): KeyedRecord {
-  const { usedTokens, openTurns, allowedTokens, budgetTokens, turnTokens } = account
-  const value = packr.pack({ p: programId, u: usedTokens, o: [...openTurns], a: allowedTokens, b: budgetTokens, m: turnTokens, w: updatedAtMs })
+  const { usedTokens, openTurns, allowedTokens, budgetTokens } = account
+  const value = packr.pack({ p: programId, u: usedTokens, o: [...openTurns], a: allowedTokens, b: budgetTokens, w: updatedAtMs })
   return { key: accountKey(programId), value }
 }
 
@@ -58,7 +60,7 @@
     const fields = packr.unpack(value) as Record<string, unknown>
     if (typeof fields.p === 'string') {
       const openTurns = new Map((fields.o as Array<[string, number]>).map(([id, tokens]) => [String(id), Number(tokens)]))
-      const account = { usedTokens: Number(fields.u), openTurns, allowedTokens: Number(fields.a), budgetTokens: Number(fields.b), turnTokens: Number(fields.m) }
+      const account = { usedTokens: Number(fields.u), openTurns, allowedTokens: Number(fields.a), budgetTokens: Number(fields.b) }
       return { type: 'account', programId: fields.p, account, updatedAtMs: Number(fields.w) }
     }
     if (typeof fields.t !== 'string' || !(fields.b instanceof Uint8Array)) return undefined
@@ -79,8 +81,13 @@
   }
 }
 
+/** True for the keys of accounts; they come before those of turns in the order of keys. */
+export function isAccountKey (key: string): boolean {
+  return key.startsWith(ACCOUNT_PREFIX)
+}
+
 function accountKey (programId: string): string {
-  return `p/${shorten(programId)}`
+  return `${ACCOUNT_PREFIX}${shorten(programId)}`
 }
 
 function turnKey (turnId: string, index: number): string {
--- a/packages/node/src/node/routed/partitionHost.ts
+++ b/packages/node/src/node/routed/partitionHost.ts
@@ -14,6 +14,8 @@
 /** Partitions that are read at the same time; the rest may have moved on before their turn comes. */
 const PARALLEL_RECOVERIES = 3
 const LEAVE_TIMEOUT_MS = 800
+/** The last records of a partition that is given up get this long; well below a member's time to live. */
+const HANDOVER_MS = 250
 const EXPIRE_PERIOD_MS = 5_000
 
 export interface PartitionHostOptions {
@@ -82,7 +84,7 @@
   async stop (flushMs: number): Promise<void> {
     this._isStopped = true
     clearInterval(this._expireTimer)
-    await Promise.all([...this._owners.values()].map(async owner => await owner.flush(flushMs)))
+    await Promise.all([...this._owners.values()].map(async owner => await owner.close(flushMs)))
     await this._options.log.leave(GROUP, this._options.member, LEAVE_TIMEOUT_MS)
     for (const owner of [...this._owners.values()]) this._lose(owner, 'stopped')
   }
@@ -105,7 +107,8 @@
       if (result.type === 'joined') {
         this._lastJoinMs = sentMs
         this._lastJoinWallMs = sentWallMs
-        this._applyMembership(result.generation, result.partitions)
+        await this._applyMembership(result.generation, result.partitions)
+        if (this._isStopped) return
       } else {
         this._options.write('groupJoinFailed', { detail: result.detail, sinceLastMs: Math.round(sentMs - this._lastJoinMs) })
       }
@@ -115,15 +118,16 @@
     }
   }
 
-  private _applyMembership (generation: number, partitions: readonly number[]): void {
+  private async _applyMembership (generation: number, partitions: readonly number[]): Promise<void> {
     const hasChanged = generation !== this._generation
     this._generation = generation
     const mine = new Set(partitions.filter(partition => partition < this._options.partitionCount))
     if (hasChanged) this._changedAtMs = steadyNowMs()
     if (hasChanged) this._options.write('partitionsAssigned', { generation, partitions: [...mine].join(',') })
-    for (const owner of [...this._owners.values()]) {
-      if (!mine.has(owner.partition)) this._lose(owner, 'reassigned')
-    }
+    // The log gives a partition to its next owner only when this node joins with the new generation.
+    const leaving = [...this._owners.values()].filter(owner => !mine.has(owner.partition))
+    await Promise.all(leaving.map(async owner => await owner.close(HANDOVER_MS)))
+    for (const owner of leaving) this._lose(owner, 'reassigned')
     for (const partition of mine) {
       const isFenced = generation <= (this._fencedGenerations.get(partition) ?? 0)
       if (!this._owners.has(partition) && !isFenced) this._take(partition, generation)
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -1,5 +1,5 @@
 /** One partition of turns and accounts while this node owns it: its folded state and its only writer. */
-import { type CachedPart, type GrantRequest, type IRandom, type KeptTurn, type KeyedRecord, type LogFields, PartitionState, type TurnEnd } from '@trefoilshunt/core'
+import { type CachedPart, type GrantRequest, type IRandom, isAccountKey, type KeptTurn, type KeyedRecord, type LogFields, PartitionState, type TurnEnd } from '@trefoilshunt/core'
 import type { AppendResult, ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
 
@@ -41,7 +41,7 @@
   | { type: 'granted', chain: KeptTurn[], cached: CachedPart[], recorded: Promise<boolean> | undefined }
   | { type: 'spent' }
   | { type: 'noSuchTurn' }
-  /** The log doesn't take records now, so the turn could not be kept. */
+  /** The log takes no records now, or not all turns are read yet. */
   | { type: 'stalled' }
 
 interface Batch {
@@ -63,6 +63,8 @@
   private _epoch: number
   private _ownerState: OwnerState = OwnerState.Waiting
   private _sequence = 0
+  private _isHistoryComplete = false
+  private _isClosing = false
   private _queue: Batch[] = []
   private _lazyRecords: KeyedRecord[] = []
   private _lazyTimer: NodeJS.Timeout | undefined
@@ -91,7 +93,12 @@
   }
 
   get isServing (): boolean {
-    return this._ownerState === OwnerState.Serving
+    return this._ownerState === OwnerState.Serving && !this._isClosing
+  }
+
+  /** True once every turn of the partition is read. */
+  get isHistoryComplete (): boolean {
+    return this._isHistoryComplete
   }
 
   get turnCount (): number {
@@ -124,16 +131,32 @@
         await delay(RECOVER_RETRY_MS)
         continue
       }
-      for (const record of page.records) {
-        if (record.value !== undefined && !this._state.fold(record.value, Date.now())) this._options.write('recordDamaged', { partition: this.partition, recordKey: record.key })
-      }
+      if (this._isLost()) return
+      for (const record of page.records) this._foldRecovered(record, startedMs)
       count += page.records.length
       afterKey = page.records.at(-1)?.key
       if (!page.hasMore || afterKey === undefined) break
     }
-    if (this._isLost()) return
+    this._serveAccounts(startedMs)
+    this._isHistoryComplete = true
+    this._options.write('partitionComplete', { partition: this.partition, epoch: this.epoch, records: count, turns: this.turnCount, turnBytes: this.turnBytes, programs: this.programCount, tookMs: Math.round(steadyNowMs() - startedMs) })
+  }
+
+  private _foldRecovered ({ key, value }: KeyedRecord, startedMs: number): void {
+    if (value === undefined) return
+    if (!isAccountKey(key)) this._serveAccounts(startedMs)
+    else if (this.isServing) {
+      this._options.write('accountOutOfOrder', { partition: this.partition, recordKey: key })
+      return
+    }
+    if (!this._state.fold(value, Date.now())) this._options.write('recordDamaged', { partition: this.partition, recordKey: key })
+  }
+
+  /** All accounts are known: turns can be granted, except those that continue one that isn't read yet. */
+  private _serveAccounts (startedMs: number): void {
+    if (this._ownerState !== OwnerState.Recovering) return
     this._ownerState = OwnerState.Serving
-    this._options.write('partitionServing', { partition: this.partition, epoch: this.epoch, records: count, turns: this.turnCount, programs: this.programCount, tookMs: Math.round(steadyNowMs() - startedMs) })
+    this._options.write('partitionServing', { partition: this.partition, epoch: this.epoch, programs: this.programCount, tookMs: Math.round(steadyNowMs() - startedMs) })
     this._options.onServing(this)
   }
 
@@ -147,6 +170,7 @@
   grant (request: GrantRequest, isKept: boolean): Grant {
     if (this.isStalled && (isKept || !this._state.isCovered(request))) return { type: 'stalled' }
     const decision = this._state.grant(request, Date.now())
+    if (decision.type === 'noSuchTurn' && !this._isHistoryComplete) return { type: 'stalled' }
     if (decision.type !== 'granted') return decision
     const { chain, records, cached } = decision
     if (records.length > 0) this._trackAccount(request.programId, this.append(records).then(outcome => outcome === 'recorded'))
@@ -199,8 +223,10 @@
     if (this.isServing) this._appendLazily(this._state.expire(Date.now()))
   }
 
-  /** Makes the records exact for the next owner and waits until they are in the log, for a while. */
-  async flush (timeoutMs: number): Promise<void> {
+  /** Takes no more turns, makes the records exact for the next owner and waits until they are in the log, for a while. */
+  async close (timeoutMs: number): Promise<void> {
+    if (this._ownerState !== OwnerState.Serving) return
+    this._isClosing = true
     this._appendLazily(this._state.seal(Date.now()))
     this._flushLazy()
     const untilMs = steadyNowMs() + timeoutMs
--- a/packages/node/src/node/routed/turnService.ts
+++ b/packages/node/src/node/routed/turnService.ts
@@ -121,7 +121,7 @@
       const { chain, cached, recorded } = grant
       return { type: 'granted', chain: joinChain(chain, new Uint8Array(0)).slice(0, -1), cached, recorded }
     }
-    if (grant.type === 'stalled') return { type: 'unavailable', detail: 'the log takes no records' }
+    if (grant.type === 'stalled') return { type: 'unavailable', detail: 'the log takes no records, or the history is still read' }
     if (!await owner.confirm()) return { type: 'unavailable', detail: 'the ownership is not confirmed' }
     return grant
   }
@@ -166,7 +166,7 @@
       const chain = owner.chainOf(turnId)
       if (chain !== undefined) return { type: 'chain', chain, partitions: [owner.partition] }
     }
-    const confirmed = await Promise.all(owners.map(async owner => await owner.confirm() ? [owner.partition] : []))
+    const confirmed = await Promise.all(owners.filter(owner => owner.isHistoryComplete).map(async owner => await owner.confirm() ? [owner.partition] : []))
     return { type: 'chain', partitions: confirmed.flat() }
   }
 
--- a/packages/node/test/node/routed/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/partitionOwner.test.ts
@@ -137,4 +137,36 @@
   owner.lose('end')
 })
 
+test('turns that continue none are granted before the history is read, and no unread turn is denied', async () => {
+  const log = new FakeLog()
+  const first = createOwner(log)
+  await first.recover()
+  await Promise.all(Array.from({ length: 120 }, async (_, index) => await first.end({ ...createEnd(`t${index}`), programId: `p${index}` })))
+  const second = createOwner(log, { generation: 2 })
+  const recovered = second.recover()
+  while (!second.isServing) await wait(1)
+  assert.not.ok(second.isHistoryComplete)
+  assert.is(second.grant(createGrant('new', { programId: 'fresh' }), true).type, 'granted')
+  assert.is(second.grant(createGrant('next', { previousTurnId: 't99' }), true).type, 'stalled')
+  await recovered
+  assert.is(second.grant(createGrant('next', { previousTurnId: 't99' }), true).type, 'granted')
+  assert.is(second.grant(createGrant('none', { previousTurnId: 'unheard-of' }), true).type, 'noSuchTurn')
+})
+
+test('an owner that is closed withdraws what it had allowed ahead', async () => {
+  const log = new FakeLog()
+  const first = createOwner(log)
+  await first.recover()
+  const grant = first.grant(createGrant('a'), false)
+  assert.ok(grant.type === 'granted' && await grant.recorded)
+  await first.end({ programId: 'p', requestId: 'a', usedTokens: 20, prompt: [] })
+  await first.close(500)
+  assert.not.ok(first.isServing)
+  first.lose('reassigned')
+  const second = createOwner(log, { generation: 2 })
+  await second.recover()
+  const granted = Array.from({ length: 12 }, (_, index) => second.grant(createGrant(`n${index}`), false).type).filter(type => type === 'granted')
+  assert.is(granted.length, 9, 'nine turns of 100 fit 1,000 tokens beside the 20 that were used')
+})
+
 test.run()
