--- a/packages/core/src/common/workers/workerChoice.ts
+++ b/packages/core/src/common/workers/workerChoice.ts
@@ -16,6 +16,8 @@
   prompt: readonly PromptPart[]
   /** Parts of the prompt that are known to be cached, besides what this node's statistics tell. */
   cached: readonly CachedPart[]
+  /** True for a worker that this node can call without opening a connection. */
+  isConnected: (worker: WorkerRegistration) => boolean
   nowMs: number
 }
 
@@ -38,6 +40,8 @@
   crossZoneMs: number
   /** Workers on which a shared prompt part is wanted; more of them spread a hot part, fewer save reading it again. */
   prefixCopies: number
+  /** Time that a new connection costs, in packets and in slots that it may hold. */
+  connectMs: number
   /** Ties between equal workers are broken within this, so that nodes don't all choose the same. */
   jitterMs: number
   /** Time that a certain failure costs. */
@@ -50,6 +54,7 @@
   prefillTokensPerMs: 471,
   batchSlowdown: 0.013,
   crossZoneMs: 6,
+  connectMs: 12,
   prefixCopies: 3,
   jitterMs: 2,
   failureMs: 1_500
@@ -92,15 +97,16 @@
 
   /** Expected time until the worker has answered, in milliseconds. */
   expectedMs (worker: WorkerRegistration, query: WorkerChoiceQuery): number {
-    const { prefillTokensPerMs, batchSlowdown, crossZoneMs, failureMs } = this._options
+    const { prefillTokensPerMs, batchSlowdown, crossZoneMs, connectMs, failureMs } = this._options
     const inFlight = this._statistics.inFlightOf(worker.workerId)
     const slots = Math.max(1, worker.slots)
     const runningMs = query.durationMs * this._statistics.slownessOf(worker.workerId) * (1 + batchSlowdown * Math.min(inFlight, slots))
     const waitMs = inFlight < slots ? 0 : runningMs * (inFlight - slots + 1) / slots
     const prefillMs = this._missingTokens(worker, query) / prefillTokensPerMs
     const zoneMs = worker.zone === query.zone ? 0 : crossZoneMs
+    const connectionMs = query.isConnected(worker) ? 0 : connectMs
     const riskMs = failureMs * this._statistics.failureRateOf(worker.workerId, query.nowMs)
-    return runningMs + waitMs + prefillMs + zoneMs + riskMs
+    return runningMs + waitMs + prefillMs + zoneMs + connectionMs + riskMs
   }
 
   /** Tokens that the worker has to read: from the first gap in its cache on. */
--- a/packages/core/src/common/workers/workerRegistry.ts
+++ b/packages/core/src/common/workers/workerRegistry.ts
@@ -26,8 +26,8 @@
 }
 
 export interface IWorkerRegistry {
-  /** Fires the id of a worker that is gone, leaves or has started anew. */
-  readonly onDidLoseWorker: Event<string>
+  /** Fires the last registration of a worker that is gone, leaves or has started anew. */
+  readonly onDidLoseWorker: Event<WorkerRegistration>
   /** Takes a registration; undefined when the entry was removed. */
   update (workerId: string, registration: WorkerRegistration | undefined, nowMs: number): void
   /** Replaces everything by a full listing. */
@@ -47,7 +47,7 @@
  */
 export class WorkerRegistry implements IWorkerRegistry {
   private readonly _entries = new Map<string, Entry>()
-  private readonly _lost = new Emitter<string>()
+  private readonly _lost = new Emitter<WorkerRegistration>()
   private _isLogLost = false
   private _regainedAtMs = Number.NEGATIVE_INFINITY
 
@@ -63,7 +63,7 @@
     }
     this._entries.set(workerId, { registration })
     const hasRestarted = known !== undefined && known.registration.startedAtMs !== registration.startedAtMs
-    if (registration.isDraining || hasRestarted) this._lost.fire(workerId)
+    if (known !== undefined && (registration.isDraining || hasRestarted)) this._lost.fire(known.registration)
   }
 
   replaceAll (registrations: readonly WorkerRegistration[], nowMs: number): void {
@@ -104,7 +104,8 @@
   }
 
   private _remove (workerId: string): void {
+    const known = this._entries.get(workerId)
     this._entries.delete(workerId)
-    this._lost.fire(workerId)
+    if (known !== undefined) this._lost.fire(known.registration)
   }
 }
--- a/packages/core/test/common/workers/workers.test.ts
+++ b/packages/core/test/common/workers/workers.test.ts
@@ -7,7 +7,7 @@
 }
 
 function createQuery (candidates: WorkerRegistration[], fields: Partial<WorkerChoiceQuery> = {}): WorkerChoiceQuery {
-  return { candidates, excluded: new Set(), zone: 'a', durationMs: 200, prompt: [], cached: [], nowMs: 0, ...fields }
+  return { candidates, excluded: new Set(), zone: 'a', durationMs: 200, prompt: [], cached: [], isConnected: () => true, nowMs: 0, ...fields }
 }
 
 function idsOf (workers: WorkerRegistration[]): string[] {
@@ -17,7 +17,7 @@
 test('a worker that drains, leaves or serves another service gets no new work', () => {
   const registry = new WorkerRegistry()
   const lost: string[] = []
-  registry.onDidLoseWorker(workerId => lost.push(workerId))
+  registry.onDidLoseWorker(({ workerId }) => lost.push(workerId))
   for (const id of ['a', 'b', 'c']) registry.update(id, createWorker(id), 0)
   registry.update('d', createWorker('d', { service: 'other' }), 0)
   registry.update('a', createWorker('a', { isDraining: true }), 1)
@@ -80,4 +80,14 @@
   assert.is(createChoice(failing).chooseWorker(createQuery(workers, { excluded: new Set(['w1']) }))?.workerId, 'w0')
 })
 
+test('between equal workers one with an idle connection is taken, and a long queue there outweighs it', () => {
+  const workers = ['w0', 'w1', 'w2'].map(id => createWorker(id))
+  const statistics = new WorkerStatistics()
+  const choice = new WorkerChoice(DEFAULT_WORKER_CHOICE, statistics, new SeededRandom(7))
+  const query = createQuery(workers, { isConnected: worker => worker.workerId === 'w1' })
+  for (let index = 0; index < 20; index++) assert.is(choice.chooseWorker(query)?.workerId, 'w1')
+  for (let index = 0; index < 5; index++) statistics.begin('w1')
+  assert.is.not(choice.chooseWorker(query)?.workerId, 'w1')
+})
+
 test.run()
--- a/packages/node/src/common/routed/workerClient.ts
+++ b/packages/node/src/common/routed/workerClient.ts
@@ -48,6 +48,8 @@
 
 export interface IWorkerClient {
   call (call: WorkerCall, listener: IWorkerCallListener): IOpenWorkerCall
+  /** True when a call to the address needs no new connection. */
+  hasIdleConnection (address: string): boolean
   /** Closes idle connections to an address that no worker uses any more. */
   forget (address: string): void
   close (): Promise<void>
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -162,7 +162,7 @@
   }
 
   private _chooseWorker (): WorkerRegistration | undefined {
-    const { routes, registry, choice, durations, zone } = this._services
+    const { routes, registry, choice, durations, workers, zone } = this._services
     const nowMs = steadyNowMs()
     for (const name of routes.drawServices(this._route)) {
       this._service = routes.findService(name)
@@ -173,6 +173,7 @@
         durationMs: durations.expectedMs(this._route),
         prompt: this._request.prompt,
         cached: this._grant?.cached ?? [],
+        isConnected: worker => workers.hasIdleConnection(worker.address),
         nowMs
       })
       if (worker !== undefined) return worker
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -145,10 +145,10 @@
     this._documentFollower = this._createFollower(_options.documentTopic, records => this._takeDocuments(records), records => this._takeDocuments(records))
     this._workerFollower = this._createFollower(_options.workerTopic, records => this._takeRegistrations(records, false), records => this._takeRegistrations(records, true))
     this._nodeFollower = this._createFollower(NODE_TOPIC, records => this._takeNodes(records), records => this._takeNodes(records))
-    this._registry.onDidLoseWorker(workerId => {
+    this._registry.onDidLoseWorker(({ workerId, address }) => {
       this._statistics.forget(workerId)
-      const lost = this._registry.find(workerId)
-      write('workerLost', { worker: workerId, isDraining: lost?.isDraining })
+      _options.workers.forget(address)
+      write('workerLost', { worker: workerId, address, isDraining: this._registry.find(workerId)?.isDraining })
     })
     this._services = {
       zone,
