Types of log records in a module of their own: no import circle in core

Cause: five files imported each other in a circle, because the control records took their base type from the input events. Change: LogRecord, StoredRecord, AppendOutcome and ReadOutcome moved to kernel/logRecords.

--- a/packages/core/src/common/configuration/controlFold.ts
+++ b/packages/core/src/common/configuration/controlFold.ts
@@ -1,5 +1,5 @@
 /** The deterministic fold of the `control` stream: equal records give equal state at every node. */
-import type { StoredRecord } from '../kernel/events.js'
+import type { StoredRecord } from '../kernel/logRecords.js'
 import { journalOf } from '../journal/journalRecords.js'
 import type { AuditEntry, ConfigurationChanged, ConfigurationPromoted, ControlRecord, ControlState, EnvironmentState } from './controlRecords.js'
 import { parseDocument } from './document.js'
--- a/packages/core/src/common/configuration/controlRecords.ts
+++ b/packages/core/src/common/configuration/controlRecords.ts
@@ -1,5 +1,5 @@
 /** Records of the `control` stream, which every node reads. */
-import type { LogRecord } from '../kernel/events.js'
+import type { LogRecord } from '../kernel/logRecords.js'
 import type { NodeRef } from '../kernel/node.js'
 
 export const CONTROL_STREAM = 'control'
--- a/packages/core/src/common/journal/journalFold.ts
+++ b/packages/core/src/common/journal/journalFold.ts
@@ -1,5 +1,5 @@
 /** The deterministic fold of a journal: which programs it holds, in which state, and who may go on with them. */
-import type { LogRecord, StoredRecord } from '../kernel/events.js'
+import type { LogRecord, StoredRecord } from '../kernel/logRecords.js'
 import type { NodeRef } from '../kernel/node.js'
 import { addTurn, type ProgramState, setCachedWorker } from '../programs/programState.js'
 import type { JournalRecord } from './journalRecords.js'
--- a/packages/core/src/common/journal/journalReader.ts
+++ b/packages/core/src/common/journal/journalReader.ts
@@ -3,7 +3,7 @@
 import { ILogger } from '../kernel/effectQueue.js'
 import { ILogService } from '../kernel/logPort.js'
 import type { NodeRef } from '../kernel/node.js'
-import type { StoredRecord } from '../kernel/events.js'
+import type { StoredRecord } from '../kernel/logRecords.js'
 import { createJournalState, foldJournalRecord, type JournalState } from './journalFold.js'
 import { isJournalRecord } from './journalSchema.js'
 
--- a/packages/core/src/common/journal/journalRecords.ts
+++ b/packages/core/src/common/journal/journalRecords.ts
@@ -1,6 +1,6 @@
 /** Records of the stream `journal/<node>/<incarnation>`. */
 import type { StepCall, StepResult } from '../kernel/callerMessages.js'
-import type { LogRecord } from '../kernel/events.js'
+import type { LogRecord } from '../kernel/logRecords.js'
 import type { NodeRef } from '../kernel/node.js'
 import type { ProgramState } from '../programs/programState.js'
 
--- a/packages/core/src/common/journal/journalSchema.ts
+++ b/packages/core/src/common/journal/journalSchema.ts
@@ -1,6 +1,6 @@
 /** Checks records read from journals: a damaged one is skipped, never folded. */
 import { z } from 'zod'
-import type { LogRecord } from '../kernel/events.js'
+import type { LogRecord } from '../kernel/logRecords.js'
 import type { JournalRecord } from './journalRecords.js'
 
 const nodeRef = z.object({ node: z.string(), incarnation: z.string(), address: z.string() })
--- a/packages/core/src/common/journal/streamWriter.ts
+++ b/packages/core/src/common/journal/streamWriter.ts
@@ -1,7 +1,7 @@
 /** Group commit to one log stream, with ambiguous appends resolved by reading. */
 import type { IClock } from '../kernel/clock.js'
 import { Emitter } from '../kernel/emitter.js'
-import type { AppendOutcome, LogRecord, ReadOutcome, StoredRecord } from '../kernel/events.js'
+import type { AppendOutcome, LogRecord, ReadOutcome, StoredRecord } from '../kernel/logRecords.js'
 import { Disposable, type IDisposable } from '../kernel/lifecycle.js'
 import type { ILogService } from '../kernel/logPort.js'
 import type { ITimers } from '../kernel/timers.js'
--- a/packages/core/src/common/kernel/effects.ts
+++ b/packages/core/src/common/kernel/effects.ts
@@ -1,7 +1,7 @@
 /** Everything the kernel asks of its host. */
 import type { CallerReply, CallerRequest, ChatMessage } from './callerMessages.js'
 import type { PeerEnvelope } from '../peers/messages.js'
-import type { LogRecord } from './events.js'
+import type { LogRecord } from './logRecords.js'
 import type { NodeRef } from './node.js'
 
 /** A model call as an engine gets it: the whole conversation. */
--- a/packages/core/src/common/kernel/events.ts
+++ b/packages/core/src/common/kernel/events.ts
@@ -1,35 +1,9 @@
 /** Everything a host tells the kernel. */
 import type { CallerReply, CallerRequest, ModelResult, ServiceResult } from './callerMessages.js'
 import type { PeerEnvelope } from '../peers/messages.js'
+import type { AppendOutcome, ReadOutcome } from './logRecords.js'
 import type { VmEntry } from './node.js'
 
-/** A record of a log stream. `id` is unique, so that duplicates can be told. */
-export interface LogRecord {
-  id: string
-  type: string
-}
-
-/** A record with its place in the stream. */
-export interface StoredRecord<T extends LogRecord = LogRecord> {
-  offset: number
-  record: T
-}
-
-/**
- * Fate of an append.
- * `appended`: landed; `firstOffset` is absent when the service does not say where.
- * `failed`: certainly not landed. `ambiguous`: may have landed, or may land later.
- */
-export type AppendOutcome =
-  | { type: 'appended', firstOffset?: number }
-  | { type: 'failed', detail: string }
-  | { type: 'ambiguous', detail: string }
-
-/** Records from the asked offset on; `firstOffset` is larger than asked when older ones are gone. */
-export type ReadOutcome =
-  | { type: 'read', records: StoredRecord[], firstOffset: number, endOffset: number }
-  | { type: 'failed', detail: string }
-
 /** A load report of a model engine; old by its lag when it arrives. */
 export interface EngineStatus {
   model: string
--- a/packages/core/src/common/kernel/logPort.ts
+++ b/packages/core/src/common/kernel/logPort.ts
@@ -1,7 +1,7 @@
 /** Access to the platform's log service. */
 import { inject, injectable } from 'tsyringe'
 import { IEffects } from './effectQueue.js'
-import type { AppendOutcome, LogRecord, ReadOutcome } from './events.js'
+import type { AppendOutcome, LogRecord, ReadOutcome } from './logRecords.js'
 
 /** What the core needs of an append-only log with offsets. */
 export interface ILogService {
