Decisions are logged where they are made; trace tells the story of a request from the logs of several nodes

Cause: a refused turn left one line at the entry node; why its owner refused was nowhere. Change: lines for the owner's decision, the grant as it arrived and the worker that was chosen; the command trace merges logs by request or program id.

--- a/packages/cli/src/node/main.ts
+++ b/packages/cli/src/node/main.ts
@@ -11,6 +11,7 @@
 import { printError } from './output.js'
 import { runSlopes } from './slopesCommand.js'
 import { runStandins } from './standinsCommand.js'
+import { runTrace } from './traceCommand.js'
 
 const SAMPLES = fileURLToPath(new URL('../../../../samples', import.meta.url))
 const DEFAULT_ADDRESS = '127.0.0.1:7300'
@@ -58,6 +59,9 @@
       .command('slopes', 'measure how cost grows with nodes, workers and programs', slopes => slopes.option('seed', seedOption).option('write', { type: 'string', describe: 'page in which to replace the figures' }), async args => await runSlopes(args))
       .demandCommand(1, 'name an experiment command'))
     .command('scenario <files..>', 'run scenario files in virtual time', command => command.positional('files', { type: 'string', array: true, demandOption: true }), async args => await runScenarios(args))
+    .command('trace <id> [files..]', 'tell the story of a request or program from the logs of nodes', command => command
+      .positional('id', { type: 'string', demandOption: true, describe: 'request id or program id' })
+      .positional('files', { type: 'string', array: true, default: [] as string[], describe: 'log files; standard input if there are none' }), async args => await runTrace(args))
     .command('standins', 'serve stand-ins of the platform and the back ends on loopback', command => command
       .option('document', { type: 'string', default: `${SAMPLES}/harrow.jsonc`, describe: 'document whose back ends to serve' })
       .option('port', { type: 'number', default: 7100, describe: 'port of the log service and VM list' })
--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -1,6 +1,6 @@
 /** What the owner of a partition holds in memory: turns and token accounts, rebuilt from the records of the log. */
 import { type CachedPart, PromptCache, type PromptPart } from './promptCache.js'
-import { type ProgramAccount, TokenReservation, TokenLedger } from './tokenLedger.js'
+import { committedTokens, type ProgramAccount, TokenLedger, TokenReservation } from './tokenLedger.js'
 import { decodeRecord, decodeTurn, encodeAccount, encodeTurn, type KeyedRecord, removeAccount, removeTurn } from './turnRecords.js'
 import { type KeptTurn, TurnTree } from './turnTree.js'
 
@@ -87,6 +87,12 @@
     return turn !== undefined
   }
 
+  /** Tokens that a program has used and reserved. */
+  committedOf (programId: string): number {
+    const account = this._ledger.find(programId)
+    return account === undefined ? 0 : committedTokens(account)
+  }
+
   /** True when granting the turn needs no record. */
   isCovered ({ programId, requestId, budgetTokens, maxTokens }: GrantRequest): boolean {
     return budgetTokens === undefined || this._ledger.isCovered({ programId, requestId, budgetTokens, maxTokens })
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -166,6 +166,11 @@
     return isWaiting || this._options.logSilenceMs() > LOG_SILENT_MS
   }
 
+  /** Tokens that a program has used and reserved. */
+  committedOf (programId: string): number {
+    return this._state.committedOf(programId)
+  }
+
   /** Decides on a turn; its reservation is on its way to the log when this returns. */
   grant (request: GrantRequest, isKept: boolean): Grant {
     if (this.isStalled && (isKept || !this._state.isCovered(request))) return { type: 'stalled' }
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -105,7 +105,9 @@
     const request: GrantRequest = { programId, requestId, previousTurnId, prompt: this._request.prompt, budgetTokens, maxTokens }
     const startedMs = steadyNowMs()
     const outcome = await this._services.turns.grant(request, this._route.keepsTurns, startedMs + this._timeLeftMs * GRANT_WAIT_SHARE)
-    this._services.metrics.observeMs('grant_ms', steadyNowMs() - startedMs)
+    const tookMs = steadyNowMs() - startedMs
+    this._services.metrics.observeMs('grant_ms', tookMs)
+    this._log('grantReceived', { outcome: outcome.type, tookMs: Math.round(tookMs), detail: outcome.type === 'unavailable' ? outcome.detail : undefined })
     if (this._isDone) {
       if (outcome.type === 'granted') this._report(0)
       return
@@ -158,6 +160,15 @@
       return
     }
     this._worker = worker
+    this._log('workerChosen', {
+      worker: worker.workerId,
+      zone: worker.zone,
+      attempt: this._sentCount + this._unsentCount + 1,
+      inFlight: this._services.statistics.inFlightOf(worker.workerId),
+      slots: worker.slots,
+      excluded: this._excluded.size,
+      timeLeftMs: Math.round(this._timeLeftMs)
+    })
     this._send(worker)
   }
 
--- a/packages/node/src/node/routed/turnService.ts
+++ b/packages/node/src/node/routed/turnService.ts
@@ -4,6 +4,7 @@
 import { delay, steadyNowMs } from '../steadyClock.js'
 import type { NodeDirectory } from './nodeDirectory.js'
 import type { PartitionHost } from './partitionHost.js'
+import type { Grant, PartitionOwner } from './partitionOwner.js'
 import type { PeerMesh, PeerResponder } from './peerMesh.js'
 
 /** One request to an owner; well above a round trip between zones and an append beside it. */
@@ -117,6 +118,7 @@
         grant = owner.grant(request, isKept)
       }
     }
+    this._logDecision(owner, request, grant)
     if (grant.type === 'granted') {
       const { chain, cached, recorded } = grant
       return { type: 'granted', chain: joinChain(chain, new Uint8Array(0)).slice(0, -1), cached, recorded }
@@ -126,6 +128,24 @@
     return grant
   }
 
+  private _logDecision (owner: PartitionOwner, { requestId, programId, previousTurnId, budgetTokens, maxTokens }: GrantRequest, grant: Grant): void {
+    this._options.write('turnDecided', {
+      requestId,
+      program: programId,
+      outcome: grant.type,
+      partition: owner.partition,
+      epoch: owner.epoch,
+      previousTurn: previousTurnId,
+      chainTurns: grant.type === 'granted' ? grant.chain.length : undefined,
+      isRecorded: grant.type === 'granted' ? grant.recorded === undefined : undefined,
+      isHistoryComplete: owner.isHistoryComplete,
+      isLogStalled: owner.isStalled,
+      committedTokens: owner.committedOf(programId),
+      maxTokens,
+      budgetTokens
+    })
+  }
+
   private async _grantAtPeer (partition: number, request: GrantRequest, isKept: boolean): Promise<GrantOutcome> {
     const owner = this._options.directory.ownerOf(partition)
     if (owner === undefined) return { type: 'unavailable', detail: 'no owner is known' }
