--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -2,8 +2,8 @@
 import { randomBytes } from 'node:crypto'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import {
-  createContainer, IRandom, IRouteTable, IWorkerChoice, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type KeyedRecord, type LogFields, type LogLevel,
-  type RouteDocument, type WorkerRegistration
+  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type KeyedRecord, type LogFields, type LogLevel,
+  type RouteDocument, WorkerChoiceOptions, type WorkerRegistration
 } from '@trefoilshunt/core'
 import { Packr } from 'msgpackr'
 import { Metrics } from '../../common/metrics.js'
@@ -66,6 +66,8 @@
   workers: IWorkerClient
   codec: IRoutedCodec
   eventLog: IEventLog
+  /** Overrides of how workers are chosen. */
+  workerChoice?: Partial<WorkerChoiceOptions>
 }
 
 /**
@@ -100,6 +102,7 @@
     const { node, zone, peerAddress, callerAddress, log } = _options
     this._self = { node, zone, peerAddress, callerAddress, incarnation: createIncarnation() }
     const container = createContainer({ seed: randomBytes(4).readInt32LE(), plugins: ['routing', 'workers'] })
+    container.registerInstance(WorkerChoiceOptions, { ...DEFAULT_WORKER_CHOICE, ..._options.workerChoice })
     this._routes = container.resolve<IRouteTable>(IRouteTable)
     this._registry = container.resolve<IWorkerRegistry>(IWorkerRegistry)
     this._statistics = container.resolve<IWorkerStatistics>(IWorkerStatistics)
