A worker counts as slow only when it clearly is; reading a prompt counts for the whole batch

Change: slow from 1.8 times the mean on; the time to read a prompt is counted for every request of the batch.

--- a/packages/core/src/common/workers/workerChoice.ts
+++ b/packages/core/src/common/workers/workerChoice.ts
@@ -44,6 +44,8 @@
   connectMs: number
   /** Ties between equal workers are broken within this, so that nodes don't all choose the same. */
   jitterMs: number
+  /** Mean duration relative to the route's from which on a worker counts as slow. */
+  minSlowness: number
   /** Time that a certain failure costs. */
   failureMs: number
 }
@@ -57,6 +59,7 @@
   connectMs: 12,
   prefixCopies: 3,
   jitterMs: 2,
+  minSlowness: 1.8,
   failureMs: 1_500
 }
 
@@ -100,15 +103,23 @@
     const { prefillTokensPerMs, batchSlowdown, crossZoneMs, connectMs, failureMs } = this._options
     const inFlight = this._statistics.inFlightOf(worker.workerId)
     const slots = Math.max(1, worker.slots)
-    const runningMs = query.durationMs * this._statistics.slownessOf(worker.workerId) * (1 + batchSlowdown * Math.min(inFlight, slots))
+    const running = Math.min(inFlight, slots)
+    const runningMs = query.durationMs * this._slowness(worker) * (1 + batchSlowdown * running)
     const waitMs = inFlight < slots ? 0 : runningMs * (inFlight - slots + 1) / slots
-    const prefillMs = this._missingTokens(worker, query) / prefillTokensPerMs
+    // Reading a prompt holds up the tokens of every request of the batch.
+    const prefillMs = this._missingTokens(worker, query) / prefillTokensPerMs * (1 + running)
     const zoneMs = worker.zone === query.zone ? 0 : crossZoneMs
     const connectionMs = query.isConnected(worker) ? 0 : connectMs
     const riskMs = failureMs * this._statistics.failureRateOf(worker.workerId, query.nowMs)
     return runningMs + waitMs + prefillMs + zoneMs + connectionMs + riskMs
   }
 
+  /** Answers differ in length by chance, so a worker counts as slow only when it is clearly so. */
+  private _slowness (worker: WorkerRegistration): number {
+    const slowness = this._statistics.slownessOf(worker.workerId)
+    return slowness < this._options.minSlowness ? 1 : slowness
+  }
+
   /** Tokens that the worker has to read: from the first gap in its cache on. */
   private _missingTokens (worker: WorkerRegistration, { prompt, cached, candidates }: WorkerChoiceQuery): number {
     let missing = 0
--- a/packages/core/src/common/workers/workerStatistics.ts
+++ b/packages/core/src/common/workers/workerStatistics.ts
@@ -2,8 +2,8 @@
 import { Ewma } from '../base/ewma.js'
 import type { PromptPart } from '../turns/promptCache.js'
 
-/** Weight of a new duration or failure; about the last ten requests count. */
-const SAMPLE_WEIGHT = 0.15
+/** Weight of a new duration or failure; about the last fifteen requests count. */
+const SAMPLE_WEIGHT = 0.12
 /** Prompt parts remembered for each worker; the least recently used yield. */
 const MAX_CACHED_PARTS = 4_000
 /** A failure is forgotten after this, so that a worker that mended gets work again. */
--- a/packages/core/test/common/workers/workers.test.ts
+++ b/packages/core/test/common/workers/workers.test.ts
@@ -80,6 +80,26 @@
   assert.is(createChoice(failing).chooseWorker(createQuery(workers, { excluded: new Set(['w1']) }))?.workerId, 'w0')
 })
 
+test('chance in the lengths of answers does not move work, a worker that is slow for good loses it', () => {
+  const workers = ['w0', 'w1'].map(id => createWorker(id))
+  const statistics = new WorkerStatistics()
+  const random = new SeededRandom(11)
+  const choice = new WorkerChoice({ ...DEFAULT_WORKER_CHOICE, jitterMs: 0 }, statistics, new SeededRandom(1))
+  const first = choice.chooseWorker(createQuery(workers))?.workerId ?? ''
+  let moved = 0
+  for (let index = 0; index < 300; index++) {
+    statistics.begin(first)
+    statistics.end(first, 0.5 + random.nextExponential(0.5))
+    if (choice.chooseWorker(createQuery(workers))?.workerId !== first) moved++
+  }
+  assert.ok(moved <= 6, `moved ${moved} of 300 times`)
+  for (let index = 0; index < 12; index++) {
+    statistics.begin(first)
+    statistics.end(first, 4)
+  }
+  assert.is.not(choice.chooseWorker(createQuery(workers))?.workerId, first)
+})
+
 test('between equal workers one with an idle connection is taken, and a long queue there outweighs it', () => {
   const workers = ['w0', 'w1', 'w2'].map(id => createWorker(id))
   const statistics = new WorkerStatistics()
