--- a/packages/node/src/node/routed/partitionHost.ts
+++ b/packages/node/src/node/routed/partitionHost.ts
@@ -14,6 +14,10 @@
 /** Partitions that are read at the same time; the rest may have moved on before their turn comes. */
 const PARALLEL_RECOVERIES = 3
 const LEAVE_TIMEOUT_MS = 800
+/** A member that hears no other one for this long while the group has others counts as cut off from them. */
+const ISOLATED_MS = 1_500
+/** An isolated node tries the group again after this: the other members may be gone. */
+const ISOLATED_RETRY_MS = 3_000
 /** The last records of a partition that is given up get this long; well below a member's time to live. */
 const HANDOVER_MS = 250
 const EXPIRE_PERIOD_MS = 5_000
@@ -28,6 +32,8 @@
   /** Time without a join after which the group gives the partitions to others. */
   memberTtlMs: number
   logSilenceMs: () => number
+  /** True while this node hears any other one. */
+  hearsPeers: () => boolean
   random: IRandom
   /** The set of served partitions has changed. */
   onChanged: () => void
@@ -47,6 +53,7 @@
   private _generation = 0
   private _changedAtMs = Number.NEGATIVE_INFINITY
   private _recoveries = 0
+  private _aloneSinceMs: number | undefined
   private _lastJoinMs = Number.NEGATIVE_INFINITY
   private _lastJoinWallMs = 0
   private _isStopped = false
@@ -69,6 +76,19 @@
     return [...this._owners.values()].filter(owner => owner.isServing)
   }
 
+  /** True when the group has other members and none of them was heard for a while. */
+  get isIsolated (): boolean {
+    return this._aloneSinceMs !== undefined && steadyNowMs() - this._aloneSinceMs > ISOLATED_MS
+  }
+
+  /** Gives up partitions that another node serves under a higher epoch: this one may be unable to learn it from the log. */
+  noteOwners (owned: ReadonlyArray<readonly [partition: number, epoch: number]>): void {
+    for (const [partition, epoch] of owned) {
+      const owner = this._owners.get(partition)
+      if (owner !== undefined && owner.epoch < epoch) this._lose(owner, 'replaced')
+    }
+  }
+
   /** True when the membership can't have lapsed: judged by both clocks, since a suspended machine counts only one. */
   get isMembershipFresh (): boolean {
     const { memberTtlMs } = this._options
@@ -100,6 +120,8 @@
   private async _keepJoined (): Promise<void> {
     const { member, memberTtlMs, log } = this._options
     while (!this._isStopped) {
+      if (this.isIsolated) await this._leaveWhileIsolated()
+      if (this._isStopped) return
       const sentMs = steadyNowMs()
       const sentWallMs = Date.now()
       const result = await log.join({ group: GROUP, member, topic: TURN_TOPIC, ttlMs: memberTtlMs, generation: this._generation, timeoutMs: memberTtlMs / 2 })
@@ -118,9 +140,23 @@
     }
   }
 
+  /** Others could not reach partitions here: they go to members that hear each other. */
+  private async _leaveWhileIsolated (): Promise<void> {
+    this._options.write('isolated', { partitions: [...this._owners.keys()].join(',') })
+    await Promise.all([...this._owners.values()].map(async owner => await owner.close(HANDOVER_MS)))
+    for (const owner of [...this._owners.values()]) this._lose(owner, 'isolated')
+    await this._options.log.leave(GROUP, this._options.member, LEAVE_TIMEOUT_MS)
+    const retryAtMs = steadyNowMs() + ISOLATED_RETRY_MS
+    while (!this._options.hearsPeers() && steadyNowMs() < retryAtMs && !this._isStopped) await delay(SETTLING_JOIN_MS)
+    this._aloneSinceMs = undefined
+  }
+
   private async _applyMembership (generation: number, partitions: readonly number[]): Promise<void> {
     const hasChanged = generation !== this._generation
     this._generation = generation
+    const isAmongOthers = partitions.length < this._options.partitionCount
+    if (!isAmongOthers || this._options.hearsPeers()) this._aloneSinceMs = undefined
+    else this._aloneSinceMs ??= steadyNowMs()
     const mine = new Set(partitions.filter(partition => partition < this._options.partitionCount))
     if (hasChanged) this._changedAtMs = steadyNowMs()
     if (hasChanged) this._options.write('partitionsAssigned', { generation, partitions: [...mine].join(',') })
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -140,6 +140,7 @@
       maxAppendBytes: _options.maxAppendBytes,
       memberTtlMs: _options.memberTtlMs,
       logSilenceMs: () => this._logSilenceMs,
+      hearsPeers: () => this._directory.alive.length > 0,
       random: container.resolve<IRandom>(IRandom),
       onChanged: () => this._sendStatus(),
       write
@@ -176,7 +177,7 @@
 
   /** True while callers should be sent here. */
   get isReady (): boolean {
-    return !this._isDraining && this._routes.version > 0 && this._workerFollower.hasContent
+    return !this._isDraining && this._routes.version > 0 && this._workerFollower.hasContent && !this._host.isIsolated
   }
 
   get isDraining (): boolean {
@@ -382,6 +383,7 @@
   private _takeStatus (status: NodeStatus): void {
     this._directory.noteStatus(status)
     this._statistics.setPeerLoad(status.from.node, status.load)
+    this._host.noteOwners(status.owned)
     if (status.documentVersion > this._routes.version) void this._fetchDocument(status.from.node)
   }
 
--- a/packages/node/test/node/routed/partitionHost.test.ts
+++ b/packages/node/test/node/routed/partitionHost.test.ts
@@ -8,7 +8,7 @@
 const PARTITIONS = 4
 const TTL_MS = 400
 
-function createHost (log: FakeLog, member: string): PartitionHost {
+function createHost (log: FakeLog, member: string, hearsPeers: () => boolean = () => true): PartitionHost {
   return new PartitionHost({
     member,
     log,
@@ -17,9 +17,10 @@
     maxAppendBytes: 100_000,
     memberTtlMs: TTL_MS,
     logSilenceMs: () => 0,
+    hearsPeers,
     random: new SeededRandom(member.length),
     onChanged: () => {},
-    write: () => {}
+    write: (event, fields) => { if (process.env.DBG !== undefined) console.log(Math.round(performance.now()), member, event, JSON.stringify(fields)) }
   })
 }
 
@@ -62,6 +63,48 @@
   second.close()
 })
 
+test('a node that the log turns away gives up what a peer serves under a higher epoch', async () => {
+  const state = new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() })
+  const reaching = new FakeLog(state)
+  const turnedAway = new FakeLog(state)
+  const first = createHost(turnedAway, 'a')
+  first.start()
+  await waitFor(() => first.served.length === PARTITIONS)
+  turnedAway.isDown = true
+  const second = createHost(reaching, 'bb')
+  second.start()
+  await waitFor(() => second.served.length === PARTITIONS)
+  assert.is(first.served.length, PARTITIONS, 'it has heard nothing yet')
+  first.noteOwners(second.served.map(owner => [owner.partition, owner.epoch]))
+  assert.is(first.served.length, 0)
+  second.noteOwners([[0, 1]])
+  assert.is(second.served.length, PARTITIONS, 'an older owner changes nothing')
+  for (const host of [first, second]) host.close()
+})
+
+test('a node that hears none of the other members hands its partitions to them', async () => {
+  const log = new FakeLog(new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() }))
+  let isCut = false
+  const hosts = [createHost(log, 'a', () => !isCut), createHost(log, 'bb'), createHost(log, 'ccc')]
+  for (const host of hosts) host.start()
+  await waitFor(() => servedBy(hosts).length === PARTITIONS && hosts.every(host => host.served.length > 0))
+  isCut = true
+  await waitFor(() => hosts[0].served.length === 0 && servedBy(hosts.slice(1)).length === PARTITIONS)
+  isCut = false
+  await waitFor(() => hosts[0].served.length > 0)
+  for (const host of hosts) host.close()
+})
+
+test('the last node left serves everything although it hears nobody', async () => {
+  const log = new FakeLog(new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() }))
+  const host = createHost(log, 'a', () => false)
+  host.start()
+  await waitFor(() => host.served.length === PARTITIONS)
+  await new Promise<void>(resolve => { setTimeout(resolve, 1_800) })
+  assert.is(host.served.length, PARTITIONS)
+  host.close()
+})
+
 test('after all partitions are dealt anew at once, each is served again by its new owner', async () => {
   const log = new FakeLog(new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() }))
   const hosts = ['a', 'bb'].map(member => createHost(log, member))
--- a/packages/standins/src/common/keyedLog.ts
+++ b/packages/standins/src/common/keyedLog.ts
@@ -181,18 +181,20 @@
     const members = [...group.members.keys()]
     group.targets.clear()
     if (members.length === 0) return
-    const most = Math.ceil(this._options.partitionCount / members.length)
+    const least = Math.floor(this._options.partitionCount / members.length)
     const counts = new Map(members.map(member => [member, 0]))
     const open: number[] = []
     for (let partition = 0; partition < this._options.partitionCount; partition++) {
       const holder = group.holders.get(partition) ?? ''
       const count = counts.get(holder)
-      if (count === undefined || count >= most) open.push(partition)
+      if (count === undefined || count >= least) open.push(partition)
       else this._assign(group, counts, partition, holder)
     }
     for (const partition of open) {
-      const [least] = [...counts].sort(([, left], [, right]) => left - right)[0]
-      this._assign(group, counts, partition, least)
+      const fewest = Math.min(...counts.values())
+      const holder = group.holders.get(partition) ?? ''
+      const [first] = [...counts].filter(([, count]) => count === fewest).map(([member]) => member)
+      this._assign(group, counts, partition, counts.get(holder) === fewest ? holder : first)
     }
   }
 
