--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -121,7 +121,8 @@
     }
     if (end.worker !== undefined) this._promptCache.note(end.worker, end.prompt)
     if (this._ledger.settle(end.programId, end.requestId, end.usedTokens)) {
-      this._ledger.allowAhead(end.programId)
+      // Nobody waits for the record of a turn that isn't kept, so nothing may rest on it.
+      if (end.turn !== undefined) this._ledger.allowAhead(end.programId)
       records.push(...this._accountRecords(end.programId, nowMs))
     }
     return records
--- a/packages/core/test/common/turns/partitionState.test.ts
+++ b/packages/core/test/common/turns/partitionState.test.ts
@@ -62,6 +62,26 @@
   assert.ok(granted.length <= 8, `${granted.length} turns beside two that may have run`)
 })
 
+test('an end that is recorded late allows no tokens before its record', () => {
+  const log = createLog()
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  const request = { programId: 'p', prompt: [], budgetTokens: 1_000, maxTokens: 100 }
+  let given = 0
+  for (const requestId of ['a', 'b', 'c', 'd', 'e', 'f', 'g']) {
+    // Every end is told at once, and its record is lost with the owner.
+    if (requestId === 'f') state.end(createEnd('a', 100), 0)
+    const grant = state.grant({ ...request, requestId }, 0)
+    if (grant.type !== 'granted') continue
+    log.take(grant.records)
+    given += 100
+  }
+  const successor = log.rebuild()
+  for (let index = 0; index < 12; index++) {
+    if (successor.grant({ ...request, requestId: `n${index}` }, 0).type === 'granted') given += 100
+  }
+  assert.ok(given <= 1_000, `${given} tokens of 1,000`)
+})
+
 test('a repeated report of an end changes nothing', () => {
   const ledger = new TokenLedger()
   ledger.reserve({ programId: 'p', requestId: 'a', budgetTokens: 100, maxTokens: 50 })
--- a/packages/node/test/node/routed/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/partitionOwner.test.ts
@@ -169,4 +169,23 @@
   assert.is(granted.length, 9, 'nine turns of 100 fit 1,000 tokens beside the 20 that were used')
 })
 
+test('an older state of an account never follows a newer one into the log', async () => {
+  const log = new FakeLog()
+  const first = createOwner(log)
+  await first.recover()
+  const opened = first.grant(createGrant('a'), false)
+  assert.ok(opened.type === 'granted' && await opened.recorded)
+  for (const requestId of ['b', 'c', 'd', 'e']) first.grant(createGrant(requestId), false)
+  // One append is under way and one queued when the account is settled, and the next turn needs a record of its own.
+  void first.end({ ...createEnd('x'), programId: 'q' })
+  void first.end({ ...createEnd('y'), programId: 'q' })
+  await first.end({ programId: 'p', requestId: 'b', usedTokens: 100, prompt: [] })
+  const extended = first.grant(createGrant('f'), false)
+  assert.ok(extended.type === 'granted' && extended.recorded !== undefined && await extended.recorded)
+  await wait(500)
+  const second = createOwner(log, { generation: 2 })
+  await second.recover()
+  assert.ok(second.committedOf('p') >= first.committedOf('p'), `${second.committedOf('p')} of ${first.committedOf('p')} tokens`)
+})
+
 test.run()
