The answer of a routed call is relayed by a class of its own

Change: AnswerRelay passes events and bodies on and holds them while the gate is closed; services and the start of calls have modules of their own. Whole-path tests unchanged.

--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -1,15 +1,13 @@
 /** The life of one routed request: route, grant, worker, answer, and the report of its end. */
 import {
-  AttemptFate, type GrantRequest, type IRouteTable, type IWorkerChoice, type IWorkerRegistry, type IWorkerStatistics, type LogFields, type NextStep,
-  resolveNextStep, type Route, RouteKind, type RoutedService, type TurnEnd, type WorkerRegistration
+  AttemptFate, type GrantRequest, type LogFields, type NextStep, resolveNextStep, type Route, type RoutedService, RouteKind, type TurnEnd, type WorkerRegistration
 } from '@trefoilshunt/core'
-import { type EventFrame, EventFrameSplitter } from '../../common/routed/eventFrames.js'
-import { type AnswerHead, type IAnswerSink, type Refusal, RefusalReason, type RoutedRequest } from '../../common/routed/routedRequest.js'
-import type { CallFailure, IOpenWorkerCall, IWorkerClient, WorkerAnswerHead } from '../../common/routed/workerClient.js'
-import type { Metrics } from '../../common/metrics.js'
+import { type IAnswerSink, type Refusal, RefusalReason, type RoutedRequest } from '../../common/routed/routedRequest.js'
+import type { CallFailure, IOpenWorkerCall } from '../../common/routed/workerClient.js'
 import { steadyNowMs } from '../steadyClock.js'
-import type { RouteDurations } from './routeDurations.js'
-import type { GrantedTurn, GrantOutcome, TurnService } from './turnService.js'
+import { AnswerRelay } from './answerRelay.js'
+import type { RoutedCallServices } from './routedCallServices.js'
+import type { GrantedTurn, GrantOutcome } from './turnService.js'
 
 /** Callers come back after this when no worker has room; about one short request. */
 const BUSY_RETRY_AFTER_MS = 120
@@ -21,53 +19,22 @@
 const END_MARGIN_MS = 60
 /** Reports of turns whose caller doesn't wait go on for this long. */
 const LATE_END_MS = 8_000
-/** Larger answers of plain services are passed on while they arrive. */
-const MAX_BUFFERED_BYTES = 512 * 1024
 const SERVER_ERROR = 500
 
-/** What a routed call works with. */
-export interface RoutedCallServices {
-  zone: string
-  routes: IRouteTable
-  registry: IWorkerRegistry
-  statistics: IWorkerStatistics
-  choice: IWorkerChoice
-  durations: RouteDurations
-  workers: IWorkerClient
-  turns: TurnService
-  metrics: Metrics
-  /** Nodes in the system, for the share of a worker's connections. */
-  nodeCount: () => number
-  /** False when the document in force may be old. */
-  isDocumentCertain: () => boolean
-  write: (event: string, fields: LogFields) => void
-}
-
 export class RoutedCall {
   private readonly _expiresAtMs: number
   private readonly _excluded = new Set<string>()
-  private readonly _held: Array<() => void> = []
+  private readonly _relay: AnswerRelay
   private _expiryTimer: NodeJS.Timeout | undefined
   private _service: RoutedService | undefined
   private _grant: GrantedTurn | undefined
-  private _isGateOpen = true
   private _worker: WorkerRegistration | undefined
   private _openCall: IOpenWorkerCall | undefined
-  private _splitter = new EventFrameSplitter()
-  private _head: WorkerAnswerHead | undefined
-  private _hasBegun = false
   private _isDone = false
-  private _isStream = false
-  private _buffered: Uint8Array[] = []
-  private _bufferedBytes = 0
   private _sentCount = 0
   private _unsentCount = 0
   private _mayHaveRun = false
   private _attemptStartedMs = 0
-  private _firstByteMs: number | undefined
-  private _eventCount = 0
-  private _lastEventId: string | undefined
-  private readonly _outputs: string[] = []
 
   constructor (
     private readonly _services: RoutedCallServices,
@@ -77,7 +44,7 @@
   ) {
     const patienceMs = Math.min(_request.deadlineMs ?? Number.POSITIVE_INFINITY, _route.timeoutMs)
     this._expiresAtMs = _request.arrivedAtMs + patienceMs
-    this._lastEventId = _request.lastEventId
+    this._relay = new AnswerRelay(_sink, _request.lastEventId)
   }
 
   start (): void {
@@ -134,25 +101,19 @@
   /** Nothing reaches the caller before the reservation of its tokens is recorded. */
   private _watchReservation ({ recorded }: GrantedTurn): void {
     if (recorded === undefined) return
-    this._isGateOpen = false
+    this._relay.closeGate()
     void recorded.then(isRecorded => {
       if (this._isDone) return
       if (!isRecorded) {
-        const mayHaveRun = this._mayHaveRun || this._openCall !== undefined || this._head !== undefined
+        const mayHaveRun = this._mayHaveRun || this._openCall !== undefined || this._relay.hasHead
         this._cancelCall()
         this._endWith({ type: mayHaveRun ? 'unknown' : 'notRun' }, 'the reservation was lost')
         return
       }
-      this._isGateOpen = true
-      for (const action of this._held.splice(0)) action()
+      this._relay.openGate()
     })
   }
 
-  private _whenOpen (action: () => void): void {
-    if (this._isGateOpen) action()
-    else this._held.push(action)
-  }
-
   private _attempt (): void {
     const worker = this._chooseWorker()
     if (worker === undefined) {
@@ -197,10 +158,7 @@
     const request = this._request
     const body = [...(this._grant?.chain ?? []), request.body]
     this._attemptStartedMs = steadyNowMs()
-    this._splitter = new EventFrameSplitter()
-    this._head = undefined
-    this._buffered = []
-    this._bufferedBytes = 0
+    this._relay.beginRun()
     statistics.begin(worker.workerId)
     statistics.notePrompt(worker.workerId, request.prompt)
     this._openCall = workers.call({
@@ -213,11 +171,11 @@
       body,
       deadlineMs: Math.max(1, Math.floor(this._timeLeftMs)),
       urgency: this._service?.engine === undefined ? undefined : this._urgency,
-      lastEventId: this._lastEventId,
+      lastEventId: this._relay.lastEventId,
       maxConnections: Math.max(2, Math.floor((this._service?.maxConnections ?? 64) / Math.max(1, nodeCount())))
     }, {
-      onHead: head => this._onHead(head),
-      onData: bytes => this._onData(bytes),
+      onHead: head => this._relay.takeHead(head),
+      onData: bytes => this._relay.takeData(bytes),
       onEnd: () => this._onEnd(),
       onFailed: failure => this._onFailed(failure)
     })
@@ -229,60 +187,15 @@
     return Math.min(9, this._route.priority * 2 + (hasBegun ? 0 : 1))
   }
 
-  private _onHead (head: WorkerAnswerHead): void {
-    this._firstByteMs ??= steadyNowMs()
-    this._head = head
-    this._isStream = head.isEventStream && head.status < 300
-    if (this._isStream) this._whenOpen(() => this._begin(head))
-  }
-
-  private _onData (bytes: Uint8Array): void {
-    if (this._isStream) {
-      for (const frame of this._splitter.push(bytes)) this._whenOpen(() => this._passEvent(frame))
-      return
-    }
-    this._buffered.push(bytes)
-    this._bufferedBytes += bytes.length
-    if (this._bufferedBytes > MAX_BUFFERED_BYTES && this._head !== undefined) this._passBuffered(this._head)
-  }
-
-  private _passEvent (frame: EventFrame): void {
-    if (this._isDone) return
-    this._sink.write(frame.bytes)
-    if (frame.data === undefined) return
-    this._eventCount++
-    this._outputs.push(frame.data)
-    if (frame.id !== undefined) this._lastEventId = frame.id
-  }
-
-  private _passBuffered (head: WorkerAnswerHead): void {
-    this._begin(head)
-    for (const bytes of this._buffered.splice(0)) this._sink.write(bytes)
-  }
-
-  private _begin (head: AnswerHead): void {
-    if (this._hasBegun || this._isDone) return
-    this._hasBegun = true
-    this._sink.begin(head)
-  }
-
   private _onEnd (): void {
     this._noteAnswer()
-    this._whenOpen(() => {
-      if (this._isDone) return
-      const head = this._head
-      if (head === undefined) return
-      if (this._isStream) {
-        if (this._splitter.rest.length > 0) this._sink.write(this._splitter.rest)
-      } else {
-        this._passBuffered(head)
-      }
-      if (this._isStream && this._grant !== undefined) {
+    this._relay.endRun(() => {
+      if (this._relay.isStream && this._grant !== undefined) {
         void this._finishTurn()
         return
       }
       this._report(0)
-      this._finish(head.status)
+      this._finish(this._relay.status)
     })
   }
 
@@ -291,14 +204,13 @@
     const { program, requestId, body } = this._request
     if (program === undefined || !this._route.keepsTurns) {
       this._report(this._usedTokens)
-      this._finish(this._head?.status ?? 0)
+      this._finish(this._relay.status)
       return
     }
     const startedMs = steadyNowMs()
-    const output = Buffer.from(this._outputs.map(data => `${data}\n`).join(''), 'latin1')
     const end: TurnEnd = {
       ...this._turnEnd(this._usedTokens),
-      turn: { turnId: requestId, programId: program.programId, previousTurnId: program.previousTurnId, input: body, output, keepMs: this._route.keepTurnsMs, worker: this._worker?.workerId }
+      turn: { turnId: requestId, programId: program.programId, previousTurnId: program.previousTurnId, input: body, output: this._relay.output, keepMs: this._route.keepTurnsMs, worker: this._worker?.workerId }
     }
     const outcome = await this._services.turns.end(end, this._expiresAtMs - END_MARGIN_MS)
     this._services.metrics.observeMs('turn_end_ms', steadyNowMs() - startedMs, { outcome })
@@ -307,7 +219,7 @@
       this._report(this._usedTokens)
       this._abort('the turn could not be recorded')
     } else {
-      this._finish(this._head?.status ?? 0)
+      this._finish(this._relay.status)
     }
   }
 
@@ -326,9 +238,9 @@
     this._services.metrics.count('attempts_failed_total', { fate })
     const reason = fate === AttemptFate.Refused ? RefusalReason.WorkerRefused : RefusalReason.FateUnknown
     // Events that wait for the reservation go to the caller first: a resumed run must not repeat them.
-    this._whenOpen(() => {
+    this._relay.whenOpen(() => {
       if (this._isDone) return
-      const next = resolveNextStep(fate, { route: this._route, sentCount: this._sentCount, unsentCount: this._unsentCount, mayHaveRun: this._mayHaveRun, hasAnswerBegun: this._hasBegun, timeLeftMs: this._timeLeftMs })
+      const next = resolveNextStep(fate, { route: this._route, sentCount: this._sentCount, unsentCount: this._unsentCount, mayHaveRun: this._mayHaveRun, hasAnswerBegun: this._relay.hasBegun, timeLeftMs: this._timeLeftMs })
       this._log('attemptFailed', { worker: worker?.workerId, fate, detail: failure.detail, next: next.type, sent: this._sentCount })
       this._follow(next, failure.detail, reason)
     })
@@ -344,17 +256,17 @@
   private _endWith (next: NextStep, detail: string, reason: RefusalReason = RefusalReason.FateUnknown): void {
     if (this._isDone) return
     this._report(this._usedTokens)
-    if (this._hasBegun) this._abort(detail)
+    if (this._relay.hasBegun) this._abort(detail)
     else if (next.type === 'notRun') this._refuse({ status: 503, reason, retryAfterMs: BUSY_RETRY_AFTER_MS }, detail)
     else this._refuse({ status: 502, reason: RefusalReason.FateUnknown }, detail)
   }
 
   private _expire (): void {
     if (this._isDone) return
-    const mayHaveRun = this._mayHaveRun || this._openCall !== undefined || this._head !== undefined
+    const mayHaveRun = this._mayHaveRun || this._openCall !== undefined || this._relay.hasHead
     this._cancelCall()
     this._report(this._usedTokens)
-    if (this._hasBegun) this._abort('timed out')
+    if (this._relay.hasBegun) this._abort('timed out')
     else if (mayHaveRun) this._refuse({ status: 504, reason: RefusalReason.TimedOut })
     else this._refuse({ status: 503, reason: RefusalReason.TimedOut, retryAfterMs: BUSY_RETRY_AFTER_MS })
   }
@@ -378,14 +290,14 @@
     this._openCall = undefined
     const { statistics, durations } = this._services
     const tookMs = steadyNowMs() - this._attemptStartedMs
-    const status = this._head?.status ?? 0
+    const { status, eventCount } = this._relay
     if (this._worker === undefined) return
     if (status >= SERVER_ERROR) statistics.end(this._worker.workerId)
-    else statistics.end(this._worker.workerId, durations.note(this._route, tookMs, Math.max(1, this._eventCount)))
+    else statistics.end(this._worker.workerId, durations.note(this._route, tookMs, Math.max(1, eventCount)))
   }
 
   private get _usedTokens (): number {
-    return this._eventCount * (this._service?.engine?.tokensPerEvent ?? 1)
+    return this._relay.eventCount * (this._service?.engine?.tokensPerEvent ?? 1)
   }
 
   private _turnEnd (usedTokens: number): TurnEnd {
@@ -420,7 +332,9 @@
 
   private _done (outcome: string, status: number, reason?: string, detail?: string): void {
     this._isDone = true
+    this._relay.stop()
     clearTimeout(this._expiryTimer)
+    const { firstByteAtMs, eventCount } = this._relay
     const tookMs = steadyNowMs() - this._request.arrivedAtMs
     this._services.metrics.count('routed_requests_total', { route: this._route.name, outcome, status: String(status) })
     this._services.metrics.observeMs('routed_request_ms', tookMs, { kind: this._route.kind })
@@ -430,11 +344,11 @@
       reason,
       detail,
       tookMs: Math.round(tookMs),
-      firstByteMs: this._firstByteMs === undefined ? undefined : Math.round(this._firstByteMs - this._request.arrivedAtMs),
+      firstByteMs: firstByteAtMs === undefined ? undefined : Math.round(firstByteAtMs - this._request.arrivedAtMs),
       worker: this._worker?.workerId,
       sent: this._sentCount,
       unsent: this._unsentCount,
-      events: this._eventCount
+      events: eventCount
     })
   }
 
@@ -443,25 +357,3 @@
     this._services.write(event, { requestId, program: program?.programId, route: this._route.name, documentVersion: this._services.routes.version, ...fields })
   }
 }
-
-/** Finds the route of a request and starts its call, or refuses it. */
-export function startRoutedCall (services: RoutedCallServices, request: RoutedRequest, sink: IAnswerSink): void {
-  const { routes, write } = services
-  const refuse = (refusal: Refusal): void => {
-    sink.refuse(refusal)
-    services.metrics.count('routed_requests_total', { route: '', outcome: 'refused', status: String(refusal.status) })
-    write('requestEnded', { requestId: request.requestId, outcome: 'refused', status: refusal.status, reason: refusal.reason, host: request.host, path: request.path, documentVersion: routes.version })
-  }
-  if (routes.limits === undefined) {
-    refuse({ status: 503, reason: RefusalReason.NoDocument, retryAfterMs: OWNER_RETRY_AFTER_MS })
-    return
-  }
-  if (request.body.length > routes.limits.bodyBytes) {
-    refuse({ status: 413, reason: RefusalReason.TooLarge })
-    return
-  }
-  const route = routes.resolveRoute(request.host, request.path)
-  if (route !== undefined) new RoutedCall(services, request, route, sink).start()
-  else if (services.isDocumentCertain()) refuse({ status: 404, reason: RefusalReason.NoRoute })
-  else refuse({ status: 503, reason: RefusalReason.NoRoute, retryAfterMs: OWNER_RETRY_AFTER_MS })
-}
--- /dev/null
+++ b/packages/node/src/node/routed/routedCalls.ts
@@ -0,0 +1,29 @@
+/** Finds the route of a request and starts its call, or refuses it. */
+import { type IAnswerSink, type Refusal, RefusalReason, type RoutedRequest } from '../../common/routed/routedRequest.js'
+import { RoutedCall } from './routedCall.js'
+import type { RoutedCallServices } from './routedCallServices.js'
+
+/** Callers come back after this when the node doesn't know the routes yet, or may know old ones only. */
+const NO_ROUTE_RETRY_AFTER_MS = 300
+
+/** Takes a request; its answer goes to `sink`. */
+export function startRoutedCall (services: RoutedCallServices, request: RoutedRequest, sink: IAnswerSink): void {
+  const { routes, write } = services
+  const refuse = (refusal: Refusal): void => {
+    sink.refuse(refusal)
+    services.metrics.count('routed_requests_total', { route: '', outcome: 'refused', status: String(refusal.status) })
+    write('requestEnded', { requestId: request.requestId, outcome: 'refused', status: refusal.status, reason: refusal.reason, host: request.host, path: request.path, documentVersion: routes.version })
+  }
+  if (routes.limits === undefined) {
+    refuse({ status: 503, reason: RefusalReason.NoDocument, retryAfterMs: NO_ROUTE_RETRY_AFTER_MS })
+    return
+  }
+  if (request.body.length > routes.limits.bodyBytes) {
+    refuse({ status: 413, reason: RefusalReason.TooLarge })
+    return
+  }
+  const route = routes.resolveRoute(request.host, request.path)
+  if (route !== undefined) new RoutedCall(services, request, route, sink).start()
+  else if (services.isDocumentCertain()) refuse({ status: 404, reason: RefusalReason.NoRoute })
+  else refuse({ status: 503, reason: RefusalReason.NoRoute, retryAfterMs: NO_ROUTE_RETRY_AFTER_MS })
+}
