What a node knows from the log is a class of its own

Cause: the routed daemon composed the parts and also read documents, registrations and nodes. Change: Knowledge follows the three topics, asks peers while the log can't be read, and answers them. Behaviour is unchanged; whole-path tests pass.

--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -2,10 +2,8 @@
 import { randomBytes } from 'node:crypto'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import {
-  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type KeyedRecord, type LogFields, type LogLevel,
-  type RouteDocument, WorkerChoiceOptions, type WorkerRegistration
+  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, WorkerChoiceOptions
 } from '@trefoilshunt/core'
-import { Packr } from 'msgpackr'
 import { Metrics } from '../../common/metrics.js'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import type { NodeAddress, NodeStatus, PeerRequest } from '../../common/routed/peerMessages.js'
@@ -13,25 +11,16 @@
 import type { IWorkerClient } from '../../common/routed/workerClient.js'
 import type { IEventLog } from '../logger.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
+import { type IRoutedCodec, Knowledge } from './knowledge.js'
 import { NodeDirectory } from './nodeDirectory.js'
 import { PartitionHost } from './partitionHost.js'
 import { PeerMesh, type PeerResponder } from './peerMesh.js'
 import { RouteDurations } from './routeDurations.js'
 import { startRoutedCall } from './routedCalls.js'
 import type { RoutedCallServices } from './routedCallServices.js'
-import { TopicFollower } from './topicFollower.js'
 import { TurnService } from './turnService.js'
 
-/** Nodes announce themselves here, each under its name. */
-const NODE_TOPIC = 'keyed.nodes'
 const STATUS_PERIOD_MS = 200
-const ANNOUNCE_RETRY_MS = 300
-const APPEND_TIMEOUT_MS = 1_500
-const TOPIC_ASK_MS = 500
-/** A log that didn't answer for this long counts as down for the node: two joins of the member group. */
-const LOG_DOWN_MS = 1_100
-/** A document counts as certain while the log or a peer that reaches it confirmed it within this. */
-const DOCUMENT_CERTAIN_MS = 4_000
 /** A stopping node takes new requests for this long: callers keep an old list of addresses that much. */
 const LINGER_MS = 3_000
 const STOP_POLL_MS = 20
@@ -40,12 +29,6 @@
 const STOP_MARGIN_MS = 700
 const FORGET_PERIOD_MS = 10_000
 
-/** What the adapter of a platform decodes for the daemon. */
-export interface IRoutedCodec {
-  decodeDocument (bytes: Uint8Array): RouteDocument | undefined
-  decodeRegistration (workerId: string, bytes: Uint8Array): WorkerRegistration | undefined
-}
-
 export interface RoutedDaemonOptions {
   node: string
   zone: string
@@ -80,7 +63,6 @@
 export class RoutedDaemon {
   readonly metrics = new Metrics()
   private readonly _self: NodeAddress
-  private readonly _packr = new Packr({ useRecords: false })
   private readonly _routes: IRouteTable
   private readonly _registry: IWorkerRegistry
   private readonly _statistics: IWorkerStatistics
@@ -88,9 +70,7 @@
   private readonly _mesh: PeerMesh
   private readonly _host: PartitionHost
   private readonly _turns: TurnService
-  private readonly _documentFollower: TopicFollower
-  private readonly _workerFollower: TopicFollower
-  private readonly _nodeFollower: TopicFollower
+  private readonly _knowledge: Knowledge
   private readonly _services: RoutedCallServices
   private readonly _loopDelay = monitorEventLoopDelay({ resolution: 20 })
   private _statusTimer: NodeJS.Timeout | undefined
@@ -140,16 +120,27 @@
       maxRecordBytes: _options.maxRecordBytes,
       maxAppendBytes: _options.maxAppendBytes,
       memberTtlMs: _options.memberTtlMs,
-      logSilenceMs: () => this._logSilenceMs,
+      logSilenceMs: () => this._knowledge.logSilenceMs,
       hearsPeers: () => this._directory.alive.length > 0,
       random: container.resolve<IRandom>(IRandom),
       onChanged: () => this._sendStatus(),
       write
     })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._host, mesh: this._mesh, directory: this._directory, write })
-    this._documentFollower = this._createFollower(_options.documentTopic, records => this._takeDocuments(records), records => this._takeDocuments(records))
-    this._workerFollower = this._createFollower(_options.workerTopic, records => this._takeRegistrations(records, false), records => this._takeRegistrations(records, true))
-    this._nodeFollower = this._createFollower(NODE_TOPIC, records => this._takeNodes(records), records => this._takeNodes(records))
+    const { documentTopic, documentKey, workerTopic, codec } = _options
+    this._knowledge = new Knowledge({
+      documentTopic,
+      documentKey,
+      workerTopic,
+      log,
+      codec,
+      routes: this._routes,
+      registry: this._registry,
+      directory: this._directory,
+      mesh: this._mesh,
+      joinSilenceMs: () => this._host.joinSilenceMs,
+      write: (level, event, fields) => this._write(level, event, fields)
+    })
     this._registry.onDidLoseWorker(({ workerId, address }) => {
       this._statistics.forget(workerId)
       _options.workers.forget(address)
@@ -166,7 +157,7 @@
       turns: this._turns,
       metrics: this.metrics,
       nodeCount: () => this._directory.alive.length + 1,
-      isDocumentCertain: () => this._isDocumentCertain,
+      isDocumentCertain: () => this._knowledge.isDocumentCertain,
       write
     }
   }
@@ -178,7 +169,7 @@
 
   /** True while callers should be sent here. */
   get isReady (): boolean {
-    return !this._isDraining && this._routes.version > 0 && this._workerFollower.hasContent && !this._host.isIsolated
+    return !this._isDraining && this._routes.version > 0 && this._knowledge.hasWorkers && !this._host.isIsolated
   }
 
   get isDraining (): boolean {
@@ -192,11 +183,9 @@
     for (const [index, peerAddress] of this._options.seedAddresses.entries()) {
       if (peerAddress !== this._self.peerAddress) this._mesh.addPeer({ node: seedName(index), incarnation: '', peerAddress, callerAddress: '', zone: '' })
     }
-    this._documentFollower.start()
-    this._workerFollower.start()
-    this._nodeFollower.start()
+    this._knowledge.start()
     this._host.start()
-    void this._announce()
+    void this._knowledge.announce(this._self)
     this._statusTimer = setInterval(() => this._sendStatus(), STATUS_PERIOD_MS)
     this._forgetTimer = setInterval(() => this._directory.forgetSilent(), FORGET_PERIOD_MS)
   }
@@ -245,7 +234,7 @@
     clearInterval(this._statusTimer)
     clearInterval(this._forgetTimer)
     this._loopDelay.disable()
-    for (const follower of [this._documentFollower, this._workerFollower, this._nodeFollower]) follower.stop()
+    this._knowledge.stop()
     this._host.close()
     await Promise.all([this._mesh.close(), this._options.workers.close(), this._options.log.close()])
   }
@@ -266,7 +255,7 @@
       turn_bytes_held: served.reduce((total, owner) => total + owner.turnBytes, 0),
       programs_held: served.reduce((total, owner) => total + owner.programCount, 0),
       append_backlog: served.reduce((total, owner) => total + owner.backlog, 0),
-      log_silence_ms: this._logSilenceMs,
+      log_silence_ms: this._knowledge.logSilenceMs,
       resident_memory_bytes: memory.rss,
       heap_used_bytes: memory.heapUsed,
       event_loop_delay_p99_ms: this._loopDelay.percentile(99) / 1e6,
@@ -274,98 +263,6 @@
     })
   }
 
-  private get _logSilenceMs (): number {
-    return Math.min(this._host.joinSilenceMs, this._documentFollower.silenceMs, this._workerFollower.silenceMs, this._nodeFollower.silenceMs)
-  }
-
-  private get _isDocumentCertain (): boolean {
-    return this._documentFollower.silenceMs < DOCUMENT_CERTAIN_MS ||
-      this._directory.alive.some(status => status.logSilenceMs < DOCUMENT_CERTAIN_MS && status.documentVersion <= this._routes.version)
-  }
-
-  private _createFollower (topic: string, onRecords: (records: KeyedRecord[]) => void, onContent: (records: KeyedRecord[]) => void): TopicFollower {
-    return new TopicFollower({
-      topic,
-      log: this._options.log,
-      onRecord: record => onRecords([record]),
-      onContent,
-      onReachable: isReachable => this._noteLog(topic, isReachable),
-      askPeers: async () => await this._askPeers(topic),
-      write: (event, fields) => this._write('warn', event, fields)
-    })
-  }
-
-  private _noteLog (topic: string, isReachable: boolean): void {
-    this._write(isReachable ? 'info' : 'warn', isReachable ? 'logRegained' : 'logLost', { topic })
-    if (topic !== this._options.workerTopic) return
-    if (isReachable) this._registry.noteLogRegained(steadyNowMs())
-    else this._registry.noteLogLost()
-  }
-
-  private async _askPeers (topic: string): Promise<KeyedRecord[] | undefined> {
-    const peer = this._directory.alive.filter(status => status.logSilenceMs < LOG_DOWN_MS).sort((left, right) => left.logSilenceMs - right.logSilenceMs).at(0)
-    if (peer === undefined) return undefined
-    const reply = await this._mesh.ask(peer.from.node, { type: 'topic', topic }, TOPIC_ASK_MS)
-    return reply?.type === 'topicContent' ? reply.records : undefined
-  }
-
-  private _takeDocuments (records: KeyedRecord[]): void {
-    for (const { key, value } of records) {
-      if (key !== this._options.documentKey || value === undefined) continue
-      const document = this._options.codec.decodeDocument(value)
-      if (document === undefined) {
-        this._write('warn', 'documentUnreadable', { bytes: value.length })
-      } else if (this._routes.apply(document)) {
-        this._write('info', 'documentInForce', { version: document.version, routes: document.routes.length, services: document.services.length })
-      }
-    }
-  }
-
-  private _takeRegistrations (records: KeyedRecord[], isComplete: boolean): void {
-    const nowMs = steadyNowMs()
-    const registrations: WorkerRegistration[] = []
-    for (const { key, value } of records) {
-      const registration = value === undefined ? undefined : this._options.codec.decodeRegistration(key, value)
-      if (value !== undefined && registration === undefined) this._write('warn', 'registrationUnreadable', { worker: key, bytes: value.length })
-      if (registration !== undefined) registrations.push(registration)
-      if (!isComplete) {
-        this._registry.update(key, registration, nowMs)
-        this._write('info', 'workerRegistration', { worker: key, service: registration?.service, isDraining: registration?.isDraining, isGone: value === undefined })
-      }
-    }
-    if (isComplete) this._registry.replaceAll(registrations, nowMs)
-  }
-
-  private _takeNodes (records: KeyedRecord[]): void {
-    for (const { value } of records) {
-      const address = value === undefined ? undefined : this._decodeNode(value)
-      if (address !== undefined) this._directory.add(address)
-    }
-  }
-
-  private _decodeNode (value: Uint8Array): NodeAddress | undefined {
-    try {
-      const fields = this._packr.unpack(value) as Partial<NodeAddress>
-      const { node, incarnation, peerAddress, callerAddress, zone } = fields
-      if ([node, incarnation, peerAddress, callerAddress, zone].some(field => typeof field !== 'string')) return undefined
-      return fields as NodeAddress
-    } catch {
-      this._write('warn', 'nodeRecordUnreadable', { bytes: value.length })
-      return undefined
-    }
-  }
-
-  /** Writes this node's address to the log until that has succeeded. */
-  private async _announce (): Promise<void> {
-    while (!this._isStopped) {
-      const result = await this._options.log.append({
-        topic: NODE_TOPIC, partition: 0, records: [{ key: this._self.node, value: this._packr.pack(this._self) }], timeoutMs: APPEND_TIMEOUT_MS
-      })
-      if (result.type === 'appended') return
-      await delay(ANNOUNCE_RETRY_MS)
-    }
-  }
-
   private _sendStatus (): void {
     if (this._isStopped) return
     this._mesh.sendStatus({
@@ -375,7 +272,7 @@
       isDraining: this._isDraining,
       owned: this._host.served.map(owner => [owner.partition, owner.epoch]),
       documentVersion: this._routes.version,
-      logSilenceMs: Math.round(this._logSilenceMs),
+      logSilenceMs: Math.round(this._knowledge.logSilenceMs),
       load: this._statistics.ownLoad(),
       peers: this._directory.alive.map(status => status.from)
     })
@@ -385,20 +282,13 @@
     this._directory.noteStatus(status)
     this._statistics.setPeerLoad(status.from.node, status.load)
     this._host.noteOwners(status.owned)
-    if (status.documentVersion > this._routes.version) void this._fetchDocument(status.from.node)
-  }
-
-  /** Gets a newer document from a peer that has it already. */
-  private async _fetchDocument (peer: string): Promise<void> {
-    const reply = await this._mesh.ask(peer, { type: 'topic', topic: this._options.documentTopic }, TOPIC_ASK_MS)
-    if (reply?.type === 'topicContent' && reply.records !== undefined) this._takeDocuments(reply.records)
+    if (status.documentVersion > this._routes.version) void this._knowledge.fetchDocument(status.from.node)
   }
 
   private _serve (request: PeerRequest, respond: PeerResponder): void {
     if (this._turns.handle(request, respond)) return
     if (request.type !== 'topic') return
-    const follower = [this._documentFollower, this._workerFollower, this._nodeFollower].find(candidate => candidate.topic === request.topic)
-    respond({ type: 'topicContent', records: follower?.content }, true)
+    respond({ type: 'topicContent', records: this._knowledge.contentOf(request.topic) }, true)
   }
 
   private _write (level: LogLevel, event: string, fields: LogFields): void {
