--- a/packages/node/src/node/routed/appendQueue.ts
+++ b/packages/node/src/node/routed/appendQueue.ts
@@ -6,8 +6,10 @@
 /** All owners write under one producer name, so that a higher epoch refuses every earlier owner. */
 export const PRODUCER = 'owner'
 /** First time-out of an append; a repeat under the same sequence number is recognised by the log. */
-const FIRST_TIMEOUT_MS = 150
+const FIRST_TIMEOUT_MS = 80
 const MAX_TIMEOUT_MS = 1_500
+/** What is left of a longer time-out after each success: a slow log keeps it long, a single lost answer doesn't. */
+const TIMEOUT_DECAY = 0.8
 const RETRY_MS = 40
 const MAX_RETRY_MS = 250
 /** Records that nobody waits for go with the next append, at the latest after this. */
@@ -164,7 +166,7 @@
   }
 
   private _finish (batch: Batch): void {
-    this._timeoutMs = Math.max(FIRST_TIMEOUT_MS, this._timeoutMs / 2)
+    this._timeoutMs = Math.max(FIRST_TIMEOUT_MS, this._timeoutMs * TIMEOUT_DECAY)
     this._inFlight = undefined
     this._sinceMs = undefined
     for (const settle of batch.waiters) settle('recorded')
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -5,8 +5,11 @@
 import { AppendQueue, describeAppend, PRODUCER, type RecordOutcome } from './appendQueue.js'
 
 export const TURN_TOPIC = 'keyed.turns'
-const RECOVER_TIMEOUT_MS = 1_500
-const RECOVER_RETRY_MS = 100
+/** First time-out of the calls of a recovery, all of which may be repeated: a loaded log answers a full page within it. */
+const FIRST_RECOVER_TIMEOUT_MS = 250
+/** Longest time-out of a recovery's calls; a slow log takes 60 times its usual 4 ms, and a page several answers' time. */
+const MAX_RECOVER_TIMEOUT_MS = 3_000
+const RECOVER_RETRY_MS = 50
 /** An append that waits longer than this means that the log is slow or down. */
 const STALLED_MS = 450
 /** A log that answered nothing for this long counts as down: four joins of the member group. */
@@ -49,6 +52,7 @@
   private _ownerState: OwnerState = OwnerState.Waiting
   private _isHistoryComplete = false
   private _isClosing = false
+  private _recoverTimeoutMs = FIRST_RECOVER_TIMEOUT_MS
   private readonly _queue: AppendQueue
   /** Ends of kept turns that are on their way to the log, by request. */
   private readonly _pendingEnds = new Map<string, Promise<RecordOutcome>>()
@@ -114,9 +118,9 @@
     let count = 0
     for (;;) {
       if (this._isLost()) return
-      const page = await this._options.log.readNewest({ topic: TURN_TOPIC, partition: this.partition, afterKey, timeoutMs: RECOVER_TIMEOUT_MS })
+      const page = await this._options.log.readNewest({ topic: TURN_TOPIC, partition: this.partition, afterKey, timeoutMs: this._recoverTimeoutMs })
       if (page.type === 'failed') {
-        await delay(RECOVER_RETRY_MS)
+        await this._delayRecovery(page.detail)
         continue
       }
       if (this._isLost()) return
@@ -233,7 +237,7 @@
     for (;;) {
       if (this._isLost()) return false
       const result = await this._options.log.append({
-        topic: TURN_TOPIC, partition: this.partition, records: [], producer: { producer: PRODUCER, epoch: this._epoch }, timeoutMs: RECOVER_TIMEOUT_MS
+        topic: TURN_TOPIC, partition: this.partition, records: [], producer: { producer: PRODUCER, epoch: this._epoch }, timeoutMs: this._recoverTimeoutMs
       })
       if (result.type === 'appended') return true
       if (result.type === 'fenced') {
@@ -245,11 +249,17 @@
         this._epoch += 1 + this._options.random.nextInt(Math.ceil(room / 2))
         continue
       }
-      this._options.write('partitionRecoveryDelayed', { partition: this.partition, epoch: this.epoch, detail: describeAppend(result) })
-      await delay(RECOVER_RETRY_MS)
+      await this._delayRecovery(describeAppend(result))
     }
   }
 
+  /** Waits a moment; the next call gets more time, since the log may be slow. */
+  private async _delayRecovery (detail: string): Promise<void> {
+    this._options.write('partitionRecoveryDelayed', { partition: this.partition, epoch: this.epoch, timeoutMs: this._recoverTimeoutMs, detail })
+    this._recoverTimeoutMs = Math.min(MAX_RECOVER_TIMEOUT_MS, this._recoverTimeoutMs * 2)
+    await delay(RECOVER_RETRY_MS)
+  }
+
   private _trackAccount (programId: string, recorded: Promise<boolean>): void {
     const tracked = recorded.finally(() => {
       if (this._accountAppends.get(programId) === tracked) this._accountAppends.delete(programId)
--- a/packages/node/test/node/routed/fakeLog.ts
+++ b/packages/node/test/node/routed/fakeLog.ts
@@ -6,20 +6,23 @@
 
 export class FakeLog implements ILogClient {
   isDown = false
-  /** Appends that are carried out without an answer, from now on. */
+  /** Appends that are carried out without an answer, from now on: their callers wait until their time-out. */
   lostAnswers = 0
+  /** Reads of pages that get no answer, from now on. */
+  lostPages = 0
   /** Appends asked for so far, without those that failed. */
   appendCount = 0
 
   constructor (readonly log = new KeyedLog({ partitionCount: 4, nowMs: () => performance.now() })) {}
 
-  async append ({ topic, partition, records, producer }: AppendRequest): Promise<AppendResult> {
+  async append ({ topic, partition, records, producer, timeoutMs }: AppendRequest): Promise<AppendResult> {
     await pause()
     if (this.isDown) return { type: 'refused', detail: 'down' }
     this.appendCount++
     const answer = this.log.append(topic, partition, records, producer)
     if (this.lostAnswers > 0) {
       this.lostAnswers--
+      await pause(timeoutMs)
       return { type: 'unknown', detail: 'lost' }
     }
     return answer.type === 'appended' ? { type: 'appended', endOffset: answer.end } : answer
@@ -43,8 +46,13 @@
     return { type: 'read', records: found.records, nextOffset: fromOffset + found.records.length }
   }
 
-  async readNewest ({ topic, partition, afterKey }: NewestRequest): Promise<NewestResult> {
+  async readNewest ({ topic, partition, afterKey, timeoutMs }: NewestRequest): Promise<NewestResult> {
     await pause()
+    if (this.lostPages > 0) {
+      this.lostPages--
+      await pause(timeoutMs)
+      return { type: 'failed', detail: 'no answer' }
+    }
     if (this.isDown) return { type: 'failed', detail: 'down' }
     const { items, hasMore, end } = this.log.newest(topic, partition, afterKey, PAGE)
     return { type: 'page', records: items, hasMore, endOffset: end }
@@ -63,6 +71,6 @@
   async close (): Promise<void> {}
 }
 
-async function pause (): Promise<void> {
-  await new Promise<void>(resolve => { setTimeout(resolve, 1) })
+async function pause (ms = 1): Promise<void> {
+  await new Promise<void>(resolve => { setTimeout(resolve, ms) })
 }
--- a/packages/node/test/node/routed/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/partitionOwner.test.ts
@@ -69,6 +69,17 @@
   assert.is(await outcome, 'lost')
 })
 
+test('a recovery whose first answers are lost serves within a second', async () => {
+  const log = new FakeLog()
+  const owner = createOwner(log)
+  log.lostAnswers = 1
+  log.lostPages = 1
+  const startedMs = performance.now()
+  await owner.recover()
+  assert.ok(owner.isServing)
+  assert.ok(performance.now() - startedMs < 1_000, `took ${Math.round(performance.now() - startedMs)} ms`)
+})
+
 test('an append whose answer was lost is repeated and lands once', async () => {
   const log = new FakeLog()
   const owner = createOwner(log)
