--- a/packages/node/src/common/routed/peerMessages.ts
+++ b/packages/node/src/common/routed/peerMessages.ts
@@ -13,10 +13,12 @@
   zone: string
 }
 
-/** Sent to every peer several times a second. */
+/** Sent to every peer periodically, and at once when something in it matters to callers. */
 export interface NodeStatus {
   type: 'status'
   from: NodeAddress
+  /** Longest time until the sender's next status. */
+  periodMs: number
   isReady: boolean
   isDraining: boolean
   /** Partitions that the node owns and serves, with the epoch of each. */
@@ -26,8 +28,8 @@
   logSilenceMs: number
   /** Own requests in flight by worker. */
   load: Record<string, number>
-  /** Peers that this node knows. */
-  peers: NodeAddress[]
+  /** Peers that the sender knows; absent when the receiver was told before. */
+  peers?: NodeAddress[]
 }
 
 /** An answer to a grant request. */
--- a/packages/node/src/node/routed/nodeDirectory.ts
+++ b/packages/node/src/node/routed/nodeDirectory.ts
@@ -1,8 +1,8 @@
 /** The nodes of the system as this one sees them: who is alive, who is ready, who owns which partition. */
 import type { NodeAddress, NodeStatus } from '../../common/routed/peerMessages.js'
 
-/** A peer without a status for this long gets no callers: four status periods. */
-const STATUS_FRESH_MS = 900
+/** A peer without a status for this many of its status periods gets no callers. */
+const FRESH_PERIODS = 4.5
 /** A peer that was never heard for this long is dropped from the directory. */
 const FORGET_MS = 60_000
 /** Callers use at most this many addresses of one answer. */
@@ -15,6 +15,8 @@
   status?: NodeStatus
   heardAtMs: number
   addedAtMs: number
+  /** True from the loss of the connection to the peer until its next status. */
+  isLost: boolean
 }
 
 export interface NodeDirectoryOptions {
@@ -27,6 +29,7 @@
 
 export class NodeDirectory {
   private readonly _nodes = new Map<string, KnownNode>()
+  private _rotation = 0
 
   constructor (private readonly _options: NodeDirectoryOptions) {}
 
@@ -35,30 +38,37 @@
     if (address.node === this._options.self.node) return
     const known = this._nodes.get(address.node)
     if (known !== undefined && known.address.incarnation >= address.incarnation) return
-    this._nodes.set(address.node, { address, heardAtMs: Number.NEGATIVE_INFINITY, addedAtMs: this._options.nowMs() })
+    this._nodes.set(address.node, { address, heardAtMs: Number.NEGATIVE_INFINITY, addedAtMs: this._options.nowMs(), isLost: false })
     this._options.onAdded(address)
   }
 
   noteStatus (status: NodeStatus): void {
     this.add(status.from)
-    for (const peer of status.peers) this.add(peer)
+    for (const peer of status.peers ?? []) this.add(peer)
     const known = this._nodes.get(status.from.node)
     if (known === undefined || known.address.incarnation !== status.from.incarnation) return
     known.status = status
     known.heardAtMs = this._options.nowMs()
+    known.isLost = false
   }
 
-  /** Addresses of all known peers. */
-  get addresses (): NodeAddress[] {
-    return [...this._nodes.values()].map(known => known.address)
+  /** A closed connection shows the end of a process at once; a peer that lives says so with its next status. */
+  noteLost (node: string): void {
+    const known = this._nodes.get(node)
+    if (known !== undefined) known.isLost = true
+  }
+
+  /** Number of peers, whether they are heard or not. */
+  get size (): number {
+    return this._nodes.size
   }
 
   /** Statuses of the peers that were heard lately. */
   get alive (): NodeStatus[] {
-    const sinceMs = this._options.nowMs() - STATUS_FRESH_MS
+    const nowMs = this._options.nowMs()
     const statuses: NodeStatus[] = []
-    for (const { status, heardAtMs } of this._nodes.values()) {
-      if (status !== undefined && heardAtMs >= sinceMs) statuses.push(status)
+    for (const { status, heardAtMs, isLost } of this._nodes.values()) {
+      if (status !== undefined && !isLost && nowMs - heardAtMs <= FRESH_PERIODS * status.periodMs) statuses.push(status)
     }
     return statuses
   }
@@ -83,7 +93,10 @@
     if (isSelfReady) ready.push(this._options.self)
     const near = ready.filter(address => address.zone === zone)
     const chosen = near.length >= MIN_ZONE_NODES ? near : ready
-    return chosen.slice(0, MAX_ADDRESSES).map(address => address.callerAddress)
+    if (chosen.length <= MAX_ADDRESSES) return chosen.map(address => address.callerAddress)
+    // Each answer begins elsewhere, so that every node gets its share of the callers.
+    this._rotation = (this._rotation + MAX_ADDRESSES) % chosen.length
+    return [...chosen.slice(this._rotation), ...chosen].slice(0, MAX_ADDRESSES).map(address => address.callerAddress)
   }
 
   /** Drops peers that have been silent for long. */
--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -7,8 +7,8 @@
 const LENGTH_BYTES = 4
 /** Larger than any chain of turns that a node hands on. */
 const MAX_FRAME_BYTES = 64 * 1024 * 1024
-/** A connection without a frame for this long is taken as dead: four status periods. */
-const SILENCE_MS = 900
+/** A connection without a frame for this many status periods is taken as dead: four answers may be late. */
+const SILENT_PERIODS = 4.5
 /** Pause between two tries to reach a peer. */
 const REDIAL_MS = 400
 const CONNECT_TIMEOUT_MS = 800
@@ -41,8 +41,18 @@
   onReply: (reply: PeerReply | undefined) => void
 }
 
+export interface StatusOptions {
+  /** Without peers. */
+  status: NodeStatus
+  /** Peers to tell of; sent once for each change of `peersVersion` to each connection. */
+  peers: readonly NodeAddress[]
+  peersVersion: string
+}
+
 interface Dialed {
   address: NodeAddress
+  /** Version of the list of peers that was sent on this connection. */
+  toldPeersVersion?: string
   socket?: Socket
   isConnected: boolean
   lastHeardMs: number
@@ -112,13 +122,28 @@
   }
 
   /** Sends the status to every peer, and finds connections that have gone silent. */
-  sendStatus (status: NodeStatus): void {
+  sendStatus ({ status, peers, peersVersion }: StatusOptions): void {
     const nowMs = steadyNowMs()
     const frame = this._encode({ t: 's', s: status })
+    let frameWithPeers: Buffer | undefined
+    for (const dialed of this._dialed.values()) {
+      if (dialed.isConnected && nowMs - dialed.lastHeardMs > SILENT_PERIODS * status.periodMs) this._drop(dialed, 'silent')
+      if (!dialed.isConnected) continue
+      if (dialed.toldPeersVersion === peersVersion) {
+        dialed.socket?.write(frame)
+        continue
+      }
+      frameWithPeers ??= this._encode({ t: 's', s: { ...status, peers: [...peers] } })
+      dialed.socket?.write(frameWithPeers)
+      dialed.toldPeersVersion = peersVersion
+    }
+  }
+
+  /** Dials the peers that are not connected, each after a pause. */
+  redial (): void {
+    const nowMs = steadyNowMs()
     for (const dialed of this._dialed.values()) {
-      if (dialed.isConnected && nowMs - dialed.lastHeardMs > SILENCE_MS) this._drop(dialed, 'silent')
-      if (dialed.isConnected) dialed.socket?.write(frame)
-      else if (dialed.socket === undefined && nowMs >= dialed.nextDialMs) this._dial(dialed)
+      if (dialed.socket === undefined && nowMs >= dialed.nextDialMs) this._dial(dialed)
     }
   }
 
@@ -157,6 +182,7 @@
     dialed.nextDialMs = steadyNowMs() + REDIAL_MS
     const socket = createConnection({ host, port, noDelay: true })
     dialed.socket = socket
+    dialed.toldPeersVersion = undefined
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS)
     socket.on('connect', () => {
       clearTimeout(timer)
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -20,7 +20,10 @@
 import type { RoutedCallServices } from './routedCallServices.js'
 import { TurnService } from './turnService.js'
 
-const STATUS_PERIOD_MS = 200
+/** How often a node looks whether its status has changed in what matters to callers. */
+const STATUS_CHECK_MS = 200
+/** Time between two statuses for each peer: a node of a large system spends no more on them than one among twenty. */
+const STATUS_MS_PER_PEER = 10
 /** A stopping node takes new requests for this long: callers keep an old list of addresses that much. */
 const LINGER_MS = 3_000
 const STOP_POLL_MS = 20
@@ -75,6 +78,8 @@
   private readonly _loopDelay = monitorEventLoopDelay({ resolution: 20 })
   private _statusTimer: NodeJS.Timeout | undefined
   private _forgetTimer: NodeJS.Timeout | undefined
+  private _statusSentAtMs = Number.NEGATIVE_INFINITY
+  private _statusDigest = ''
   private _openCount = 0
   private _isDraining = false
   private _isStopped = false
@@ -111,6 +116,7 @@
       onLost: (peer, detail) => {
         write('peerLost', { peer, detail })
         this._statistics.dropPeer(peer)
+        this._directory.noteLost(peer)
       }
     })
     this._host = new PartitionHost({
@@ -186,7 +192,7 @@
     this._knowledge.start()
     this._host.start()
     void this._knowledge.announce(this._self)
-    this._statusTimer = setInterval(() => this._sendStatus(), STATUS_PERIOD_MS)
+    this._statusTimer = setInterval(() => this._keepStatus(), STATUS_CHECK_MS)
     this._forgetTimer = setInterval(() => this._directory.forgetSilent(), FORGET_PERIOD_MS)
   }
 
@@ -263,19 +269,44 @@
     })
   }
 
+  /** Time between two statuses while nothing changes. */
+  private get _statusPeriodMs (): number {
+    return Math.max(STATUS_CHECK_MS, STATUS_MS_PER_PEER * this._directory.size)
+  }
+
+  private _keepStatus (): void {
+    this._mesh.redial()
+    // A timer fires a little early or late: half a check decides which one is nearest.
+    const isDue = steadyNowMs() - this._statusSentAtMs > this._statusPeriodMs - STATUS_CHECK_MS / 2
+    if (isDue || this._statusDigest !== this._digestStatus()) this._sendStatus()
+  }
+
   private _sendStatus (): void {
     if (this._isStopped) return
-    this._mesh.sendStatus({
+    this._statusSentAtMs = steadyNowMs()
+    this._statusDigest = this._digestStatus()
+    const status: NodeStatus = {
       type: 'status',
       from: this._self,
+      periodMs: this._statusPeriodMs,
       isReady: this.isReady,
       isDraining: this._isDraining,
-      owned: this._host.served.map(owner => [owner.partition, owner.epoch]),
+      owned: this._ownedPartitions,
       documentVersion: this._routes.version,
       logSilenceMs: Math.round(this._knowledge.logSilenceMs),
-      load: this._statistics.ownLoad(),
-      peers: this._directory.alive.map(status => status.from)
-    })
+      load: this._statistics.ownLoad()
+    }
+    const peers = this._directory.alive.map(({ from }) => from)
+    this._mesh.sendStatus({ status, peers, peersVersion: peers.map(({ incarnation }) => incarnation).join() })
+  }
+
+  /** What peers must learn at once. */
+  private _digestStatus (): string {
+    return [this.isReady, this._isDraining, this._routes.version, ...this._ownedPartitions.flat()].join()
+  }
+
+  private get _ownedPartitions (): NodeStatus['owned'] {
+    return this._host.served.map(owner => [owner.partition, owner.epoch])
   }
 
   private _takeStatus (status: NodeStatus): void {
--- /dev/null
+++ b/packages/node/test/node/routed/nodeDirectory.test.ts
@@ -0,0 +1,56 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { NodeAddress, NodeStatus } from '../../../src/common/routed/peerMessages.js'
+import { NodeDirectory } from '../../../src/node/routed/nodeDirectory.js'
+
+const PERIOD_MS = 200
+
+function createAddress (node: string, zone = 'a'): NodeAddress {
+  return { node, zone, incarnation: '1', peerAddress: `${node}:1`, callerAddress: node }
+}
+
+function createStatus (node: string, fields: Partial<NodeStatus> = {}): NodeStatus {
+  return { type: 'status', from: createAddress(node), periodMs: PERIOD_MS, isReady: true, isDraining: false, owned: [], documentVersion: 1, logSilenceMs: 0, load: {}, ...fields }
+}
+
+function createDirectory (clock: { nowMs: number }): NodeDirectory {
+  return new NodeDirectory({ self: createAddress('self'), nowMs: () => clock.nowMs, onAdded: () => {}, onForgotten: () => {} })
+}
+
+test('a peer counts as alive for some of its own periods, however long they are', () => {
+  const clock = { nowMs: 0 }
+  const directory = createDirectory(clock)
+  directory.noteStatus(createStatus('fast'))
+  directory.noteStatus(createStatus('slow', { periodMs: 2_000 }))
+  clock.nowMs = 1_000
+  assert.equal(directory.alive.map(({ from }) => from.node), ['slow'])
+  clock.nowMs = 10_000
+  assert.is(directory.alive.length, 0)
+})
+
+test('a peer whose connection closed is gone at once, with its partitions, until its next status', () => {
+  const clock = { nowMs: 0 }
+  const directory = createDirectory(clock)
+  directory.noteStatus(createStatus('peer', { owned: [[3, 7]] }))
+  assert.is(directory.ownerOf(3), 'peer')
+  directory.noteLost('peer')
+  assert.is(directory.ownerOf(3), undefined)
+  assert.equal(directory.callerAddresses('a', true), ['self'])
+  directory.noteStatus(createStatus('peer', { owned: [[3, 7]] }))
+  assert.is(directory.ownerOf(3), 'peer')
+})
+
+test('callers of a large system are spread over all of its nodes, 64 at a time', () => {
+  const directory = createDirectory({ nowMs: 0 })
+  for (let index = 0; index < 150; index++) directory.noteStatus(createStatus(`n${index}`))
+  const given = new Map<string, number>()
+  for (let round = 0; round < 30; round++) {
+    const addresses = directory.callerAddresses('a', false)
+    assert.is(new Set(addresses).size, 64)
+    for (const address of addresses) given.set(address, (given.get(address) ?? 0) + 1)
+  }
+  assert.is(given.size, 150)
+  assert.ok(Math.min(...given.values()) >= 10, `the rarest was given ${Math.min(...given.values())} times of 30`)
+})
+
+test.run()
--- /dev/null
+++ b/packages/node/test/node/routed/peerMesh.test.ts
@@ -0,0 +1,58 @@
+import { createServer, type AddressInfo } from 'node:net'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { NodeAddress, NodeStatus } from '../../../src/common/routed/peerMessages.js'
+import { PeerMesh } from '../../../src/node/routed/peerMesh.js'
+
+async function findFreeAddress (): Promise<string> {
+  const server = createServer()
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise<void>(resolve => { server.close(() => resolve()) })
+  return `127.0.0.1:${port}`
+}
+
+async function waitUntil (isDone: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 200 && !isDone(); tries++) await new Promise<void>(resolve => { setTimeout(resolve, 10) })
+}
+
+function createMesh (self: NodeAddress, onStatus: (status: NodeStatus) => void = () => {}, onLost: (peer: string) => void = () => {}): PeerMesh {
+  return new PeerMesh({ self, onStatus, onRequest: () => {}, onConnected: () => {}, onLost })
+}
+
+async function createAddress (node: string): Promise<NodeAddress> {
+  return { node, incarnation: '1', zone: 'a', peerAddress: await findFreeAddress(), callerAddress: '' }
+}
+
+function createStatus (from: NodeAddress): NodeStatus {
+  return { type: 'status', from, periodMs: 200, isReady: true, isDraining: false, owned: [], documentVersion: 1, logSilenceMs: 0, load: {} }
+}
+
+test('the list of peers goes over a connection only when it has changed', async () => {
+  const [near, far] = [await createAddress('near'), await createAddress('far')]
+  const statuses: NodeStatus[] = []
+  const [sender, receiver] = [createMesh(near), createMesh(far, status => statuses.push(status))]
+  await receiver.listen()
+  sender.addPeer(far)
+  await waitUntil(() => sender.isConnected('far'))
+  const status = createStatus(near)
+  for (const peersVersion of ['1', '1', '1', '2']) sender.sendStatus({ status, peers: [far], peersVersion })
+  await waitUntil(() => statuses.length === 4)
+  assert.equal(statuses.map(({ peers }) => peers?.length), [1, undefined, undefined, 1])
+  await Promise.all([sender.close(), receiver.close()])
+})
+
+test('the end of a peer is told as soon as its connection closes', async () => {
+  const [near, far] = [await createAddress('near'), await createAddress('far')]
+  const lost: string[] = []
+  const [sender, receiver] = [createMesh(near, undefined, peer => lost.push(peer)), createMesh(far)]
+  await receiver.listen()
+  sender.addPeer(far)
+  await waitUntil(() => sender.isConnected('far'))
+  await receiver.close()
+  await waitUntil(() => lost.length > 0)
+  assert.equal(lost, ['far'])
+  await sender.close()
+})
+
+test.run()
