--- a/packages/node/src/node/routed/knowledge.ts
+++ b/packages/node/src/node/routed/knowledge.ts
@@ -6,6 +6,7 @@
 import { delay, steadyNowMs } from '../steadyClock.js'
 import type { NodeDirectory } from './nodeDirectory.js'
 import type { PeerMesh } from './peerMesh.js'
+import { TopicCopies } from './topicCopies.js'
 import { TopicFollower } from './topicFollower.js'
 
 /** Nodes announce themselves here, each under its name. */
@@ -25,6 +26,8 @@
 }
 
 export interface KnowledgeOptions {
+  /** This node's name. */
+  node: string
   documentTopic: string
   documentKey: string
   workerTopic: string
@@ -50,10 +53,17 @@
   private readonly _documentFollower: TopicFollower
   private readonly _workerFollower: TopicFollower
   private readonly _nodeFollower: TopicFollower
+  private readonly _copies: TopicCopies
   private _isStopped = false
 
   constructor (private readonly _options: KnowledgeOptions) {
-    const { documentTopic, workerTopic } = _options
+    const { documentTopic, workerTopic, log, directory } = _options
+    this._copies = new TopicCopies({
+      log,
+      contents: () => this._contentsToCopy,
+      isWriter: () => directory.alive.every(({ from }) => from.node > _options.node),
+      write: (event, fields) => this._write('info', event, fields)
+    })
     this._documentFollower = this._createFollower(documentTopic, records => this._takeDocuments(records), records => this._takeDocuments(records))
     this._workerFollower = this._createFollower(workerTopic, records => this._takeRegistrations(records, false), records => this._takeRegistrations(records, true))
     this._nodeFollower = this._createFollower(NODE_TOPIC, records => this._takeNodes(records), records => this._takeNodes(records))
@@ -66,11 +76,13 @@
 
   start (): void {
     for (const follower of this._followers) follower.start()
+    this._copies.start()
   }
 
   stop (): void {
     this._isStopped = true
     for (const follower of this._followers) follower.stop()
+    this._copies.stop()
   }
 
   /** The newest records of a topic; undefined while this node has not read it. */
@@ -85,7 +97,8 @@
 
   /** True while the document in force can't be long out of date. */
   get isDocumentCertain (): boolean {
-    return this._documentFollower.silenceMs < DOCUMENT_CERTAIN_MS ||
+    const isReadHere = this._documentFollower.content !== undefined && this._documentFollower.silenceMs < DOCUMENT_CERTAIN_MS
+    return isReadHere ||
       this._options.directory.alive.some(status => status.logSilenceMs < DOCUMENT_CERTAIN_MS && status.documentVersion <= this._options.routes.version)
   }
 
@@ -93,10 +106,16 @@
     return new TopicFollower({
       topic,
       log: this._options.log,
-      onRecord: record => onRecords([record]),
-      onContent,
+      onRecord: record => {
+        this._copies.noteChanged()
+        onRecords([record])
+      },
+      onContent: records => {
+        this._copies.noteChanged()
+        onContent(records)
+      },
       onReachable: isReachable => this._noteLog(topic, isReachable),
-      askPeers: async () => await this._askPeers(topic),
+      readElsewhere: async () => await this._readElsewhere(topic),
       write: (event, fields) => this._write('warn', event, fields)
     })
   }
@@ -108,6 +127,20 @@
     else this._options.registry.noteLogLost()
   }
 
+  /** What both the nodes' service and its callers rest on; the nodes' own addresses are announced at each start. */
+  private get _contentsToCopy (): ReadonlyMap<string, readonly KeyedRecord[]> | undefined {
+    const contents = new Map<string, readonly KeyedRecord[]>()
+    for (const { topic, content } of [this._documentFollower, this._workerFollower]) {
+      if (content === undefined) return undefined
+      contents.set(topic, content)
+    }
+    return contents
+  }
+
+  private async _readElsewhere (topic: string): Promise<KeyedRecord[] | undefined> {
+    return await this._askPeers(topic) ?? await this._copies.read(topic)
+  }
+
   private async _askPeers (topic: string): Promise<KeyedRecord[] | undefined> {
     const peer = this._options.directory.alive.filter(status => status.logSilenceMs < LOG_DOWN_MS).sort((left, right) => left.logSilenceMs - right.logSilenceMs).at(0)
     if (peer === undefined) return undefined
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -135,6 +135,7 @@
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._host, mesh: this._mesh, directory: this._directory, write })
     const { documentTopic, documentKey, workerTopic, codec } = _options
     this._knowledge = new Knowledge({
+      node,
       documentTopic,
       documentKey,
       workerTopic,
--- a/packages/node/src/node/routed/topicFollower.ts
+++ b/packages/node/src/node/routed/topicFollower.ts
@@ -9,8 +9,8 @@
 const NEWEST_TIMEOUT_MS = 1_200
 const RETRY_MS = 100
 const MAX_RETRY_MS = 400
-/** After this long without the log, peers are asked for what they know. */
-const ASK_PEERS_AFTER_MS = 500
+/** A node that knows the content looks for it elsewhere after this long without the log. */
+const LOOK_ELSEWHERE_AFTER_MS = 500
 
 export interface TopicFollowerOptions {
   topic: string
@@ -20,14 +20,14 @@
   /** The whole content, after the start or after records were missed. */
   onContent: (records: KeyedRecord[]) => void
   onReachable: (isReachable: boolean) => void
-  /** Content that a peer knows, while this node can't read the log. */
-  askPeers: () => Promise<KeyedRecord[] | undefined>
+  /** The content as peers or copies have it, while this node can't read the topic. */
+  readElsewhere: () => Promise<KeyedRecord[] | undefined>
   write: (event: string, fields: LogFields) => void
 }
 
 /**
  * @example
- * const follower = new TopicFollower({ topic: 'keyed.nodes', log, onRecord, onContent, onReachable, askPeers, write })
+ * const follower = new TopicFollower({ topic: 'keyed.nodes', log, onRecord, onContent, onReachable, readElsewhere, write })
  * follower.start()
  */
 export class TopicFollower {
@@ -40,7 +40,7 @@
 
   constructor (private readonly _options: TopicFollowerOptions) {}
 
-  /** True once the content was read, from the log or from a peer. */
+  /** True once the content was read, from the log or elsewhere. */
   get hasContent (): boolean {
     return this._hasContent
   }
@@ -59,7 +59,7 @@
     return steadyNowMs() - this._heardAtMs
   }
 
-  /** The newest record of each key; undefined while the log has not been read. */
+  /** The newest record of each key as the log has it; undefined while the topic has not been read. */
   get content (): KeyedRecord[] | undefined {
     return this._nextOffset === undefined ? undefined : [...this._content].map(([key, value]) => ({ key, value }))
   }
@@ -82,7 +82,7 @@
         retryMs = RETRY_MS
         continue
       }
-      if (this.silenceMs > ASK_PEERS_AFTER_MS) await this._readFromPeers()
+      if (!this._hasContent || this.silenceMs > LOOK_ELSEWHERE_AFTER_MS) await this._readElsewhere()
       await delay(retryMs)
       retryMs = Math.min(MAX_RETRY_MS, retryMs * 2)
     }
@@ -132,8 +132,8 @@
     return true
   }
 
-  private async _readFromPeers (): Promise<void> {
-    const records = await this._options.askPeers()
+  private async _readElsewhere (): Promise<void> {
+    const records = await this._options.readElsewhere()
     if (records === undefined || this._isStopped) return
     this._takeContent(records)
   }
