--- a/packages/core/src/common/workers/workerRegistry.ts
+++ b/packages/core/src/common/workers/workerRegistry.ts
@@ -18,11 +18,15 @@
 
 /** Entries that lapsed while the log was away may come back this long after its return. */
 const LAPSE_GRACE_MS = 2_000
+/** A worker that wasn't at its address is tried again after this, in case that another one had answered for it. */
+const DENIED_MS = 10_000
 
 interface Entry {
   registration: WorkerRegistration
   /** Set when the entry was removed at a time at which it may only have lapsed. */
   removedAtMs?: number
+  /** Set when another worker was found at the address. */
+  deniedAtMs?: number
 }
 
 export interface IWorkerRegistry {
@@ -34,6 +38,8 @@
   replaceAll (registrations: readonly WorkerRegistration[], nowMs: number): void
   noteLogLost (): void
   noteLogRegained (nowMs: number): void
+  /** Notes that another worker answers at a worker's address: its registration is out of date. */
+  noteDenied (workerId: string, nowMs: number): void
   /** Workers of a service that may get new work. */
   workersOf (service: string, nowMs: number): WorkerRegistration[]
   find (workerId: string): WorkerRegistration | undefined
@@ -61,8 +67,9 @@
       else this._remove(workerId)
       return
     }
-    this._entries.set(workerId, { registration })
     const hasRestarted = known !== undefined && known.registration.startedAtMs !== registration.startedAtMs
+    const hasMoved = known !== undefined && known.registration.address !== registration.address
+    this._entries.set(workerId, { registration, deniedAtMs: hasRestarted || hasMoved ? undefined : known?.deniedAtMs })
     if (known !== undefined && (registration.isDraining || hasRestarted)) this._lost.fire(known.registration)
   }
 
@@ -83,9 +90,15 @@
     this._isLogLost = false
   }
 
+  noteDenied (workerId: string, nowMs: number): void {
+    const known = this._entries.get(workerId)
+    if (known !== undefined) known.deniedAtMs = nowMs
+  }
+
   workersOf (service: string, nowMs: number): WorkerRegistration[] {
     const workers: WorkerRegistration[] = []
-    for (const [workerId, { registration, removedAtMs }] of this._entries) {
+    for (const [workerId, { registration, removedAtMs, deniedAtMs }] of this._entries) {
+      if (deniedAtMs !== undefined && nowMs - deniedAtMs < DENIED_MS) continue
       if (removedAtMs !== undefined && !this._mayHaveLapsed(nowMs)) {
         this._remove(workerId)
       } else if (registration.service === service && !registration.isDraining) {
--- a/packages/core/src/common/workers/workerStatistics.ts
+++ b/packages/core/src/common/workers/workerStatistics.ts
@@ -23,7 +23,8 @@
   begin (workerId: string): void
   /** Ends a request. `ratio` is its duration relative to the mean of its route; absent when it did not run to its end. */
   end (workerId: string, ratio?: number): void
-  noteFailure (workerId: string, nowMs: number): void
+  /** `severity` is 1 for a request that is lost, less for one that was answered with a failure or refused. */
+  noteFailure (workerId: string, nowMs: number, severity?: number): void
   notePrompt (workerId: string, prompt: readonly PromptPart[]): void
   /** Replaces what a peer has in flight. */
   setPeerLoad (peer: string, inFlight: Readonly<Record<string, number>>): void
@@ -58,9 +59,9 @@
     figures.failureRate.add(0)
   }
 
-  noteFailure (workerId: string, nowMs: number): void {
+  noteFailure (workerId: string, nowMs: number, severity = 1): void {
     const figures = this._figuresOf(workerId)
-    figures.failureRate.add(1)
+    figures.failureRate.add(severity)
     figures.lastFailureAtMs = nowMs
   }
 
--- a/packages/core/test/common/workers/workers.test.ts
+++ b/packages/core/test/common/workers/workers.test.ts
@@ -39,6 +39,18 @@
   assert.equal(idsOf(registry.workersOf('s', 12_000)), ['a'], 'one that is still missing is gone')
 })
 
+test('a registration that another worker answers for is not used until it changes, or for ten seconds', () => {
+  const registry = new WorkerRegistry()
+  for (const id of ['a', 'b']) registry.update(id, createWorker(id), 0)
+  registry.noteDenied('a', 0)
+  registry.noteDenied('b', 0)
+  registry.update('a', createWorker('a', { slots: 5 }), 100)
+  assert.equal(idsOf(registry.workersOf('s', 200)), [], 'the same start at the same address stays out')
+  registry.update('a', createWorker('a', { startedAtMs: 2 }), 300)
+  assert.equal(idsOf(registry.workersOf('s', 400)), ['a'])
+  assert.equal(idsOf(registry.workersOf('s', 10_000)), ['a', 'b'])
+})
+
 test('a session stays at its worker until the queue there costs more than reading the prompt again', () => {
   const statistics = new WorkerStatistics()
   const choice = new WorkerChoice(DEFAULT_WORKER_CHOICE, statistics, new SeededRandom(1))
--- a/packages/node/src/common/routed/workerClient.ts
+++ b/packages/node/src/common/routed/workerClient.ts
@@ -29,8 +29,8 @@
 
 export type CallFailure =
   | { type: 'notSent', detail: string }
-  /** The worker said that it did not run the request. */
-  | { type: 'refused', status: number, detail: string }
+  /** The worker said that it did not run the request; `isMisdirected` when it isn't the one that was asked for. */
+  | { type: 'refused', isMisdirected: boolean, detail: string }
   | { type: 'broken', detail: string }
 
 export interface IWorkerCallListener {
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -3,11 +3,11 @@
   AttemptFate, type GrantRequest, type LogFields, type NextStep, resolveNextStep, type Route, type RoutedService, RouteKind, type TurnEnd, type WorkerRegistration
 } from '@trefoilshunt/core'
 import { type IAnswerSink, type Refusal, RefusalReason, type RoutedRequest } from '../../common/routed/routedRequest.js'
-import type { CallFailure, IOpenWorkerCall } from '../../common/routed/workerClient.js'
 import { steadyNowMs } from '../steadyClock.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { RoutedCallServices } from './routedCallServices.js'
 import type { GrantedTurn, GrantOutcome } from './turnService.js'
+import { WorkerAttempt } from './workerAttempt.js'
 
 /** Callers come back after this when no worker has room; about one short request. */
 const BUSY_RETRY_AFTER_MS = 120
@@ -19,7 +19,6 @@
 const END_MARGIN_MS = 60
 /** Reports of turns whose caller doesn't wait go on for this long. */
 const LATE_END_MS = 8_000
-const SERVER_ERROR = 500
 
 export class RoutedCall {
   private readonly _expiresAtMs: number
@@ -28,13 +27,12 @@
   private _expiryTimer: NodeJS.Timeout | undefined
   private _service: RoutedService | undefined
   private _grant: GrantedTurn | undefined
-  private _worker: WorkerRegistration | undefined
-  private _openCall: IOpenWorkerCall | undefined
+  /** The latest attempt. */
+  private _attempted: WorkerAttempt | undefined
   private _isDone = false
   private _sentCount = 0
   private _unsentCount = 0
   private _mayHaveRun = false
-  private _attemptStartedMs = 0
 
   constructor (
     private readonly _services: RoutedCallServices,
@@ -105,8 +103,8 @@
     void recorded.then(isRecorded => {
       if (this._isDone) return
       if (!isRecorded) {
-        const mayHaveRun = this._mayHaveRun || this._openCall !== undefined || this._relay.hasHead
-        this._cancelCall()
+        const mayHaveRun = this._mayHaveRun || this._isAtWorker || this._relay.hasHead
+        this._attempted?.cancel()
         this._endWith({ type: mayHaveRun ? 'unknown' : 'notRun' }, 'the reservation was lost')
         return
       }
@@ -120,7 +118,6 @@
       this._endWith({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'no worker', RefusalReason.NoWorker)
       return
     }
-    this._worker = worker
     this._log('workerChosen', {
       worker: worker.workerId,
       zone: worker.zone,
@@ -154,33 +151,40 @@
   }
 
   private _send (worker: WorkerRegistration): void {
-    const { statistics, workers, nodeCount } = this._services
+    const { nodeCount } = this._services
     const request = this._request
-    const body = [...(this._grant?.chain ?? []), request.body]
-    this._attemptStartedMs = steadyNowMs()
     this._relay.beginRun()
-    statistics.begin(worker.workerId)
-    statistics.notePrompt(worker.workerId, request.prompt)
-    this._openCall = workers.call({
-      workerId: worker.workerId,
-      address: worker.address,
-      requestId: request.requestId,
-      method: request.method,
-      path: request.path,
-      headers: request.headers,
-      body,
-      deadlineMs: Math.max(1, Math.floor(this._timeLeftMs)),
-      urgency: this._service?.engine === undefined ? undefined : this._urgency,
-      lastEventId: this._relay.lastEventId,
-      maxConnections: Math.max(2, Math.floor((this._service?.maxConnections ?? 64) / Math.max(1, nodeCount())))
-    }, {
-      onHead: head => this._relay.takeHead(head),
-      onData: bytes => this._relay.takeData(bytes),
-      onEnd: () => this._onEnd(),
-      onFailed: failure => this._onFailed(failure)
+    this._attempted = new WorkerAttempt({
+      services: this._services,
+      route: this._route,
+      worker,
+      prompt: request.prompt,
+      call: {
+        workerId: worker.workerId,
+        address: worker.address,
+        requestId: request.requestId,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        body: [...(this._grant?.chain ?? []), request.body],
+        deadlineMs: Math.max(1, Math.floor(this._timeLeftMs)),
+        urgency: this._service?.engine === undefined ? undefined : this._urgency,
+        lastEventId: this._relay.lastEventId,
+        maxConnections: Math.max(2, Math.floor((this._service?.maxConnections ?? 64) / Math.max(1, nodeCount())))
+      },
+      listener: {
+        onHead: head => this._relay.takeHead(head),
+        onData: bytes => this._relay.takeData(bytes),
+        onEnd: () => this._onEnd(),
+        onFailed: (fate, detail) => this._onFailed(fate, detail)
+      }
     })
   }
 
+  private get _isAtWorker (): boolean {
+    return this._attempted?.isOpen === true
+  }
+
   /** Rank of the route first; programs that have begun go before new ones. */
   private get _urgency (): number {
     const hasBegun = this._request.program?.previousTurnId !== undefined || (this._grant?.cached.length ?? 0) > 0
@@ -188,7 +192,8 @@
   }
 
   private _onEnd (): void {
-    this._noteAnswer()
+    this._sentCount++
+    this._attempted?.noteAnswer(this._relay.status, Math.max(1, this._relay.eventCount))
     this._relay.endRun(() => {
       if (this._relay.isStream && this._grant !== undefined) {
         void this._finishTurn()
@@ -210,7 +215,7 @@
     const startedMs = steadyNowMs()
     const end: TurnEnd = {
       ...this._turnEnd(this._usedTokens),
-      turn: { turnId: requestId, programId: program.programId, previousTurnId: program.previousTurnId, input: body, output: this._relay.output, keepMs: this._route.keepTurnsMs, worker: this._worker?.workerId }
+      turn: { turnId: requestId, programId: program.programId, previousTurnId: program.previousTurnId, input: body, output: this._relay.output, keepMs: this._route.keepTurnsMs, worker: this._attempted?.worker.workerId }
     }
     const outcome = await this._services.turns.end(end, this._expiresAtMs - END_MARGIN_MS)
     this._services.metrics.observeMs('turn_end_ms', steadyNowMs() - startedMs, { outcome })
@@ -223,26 +228,20 @@
     }
   }
 
-  private _onFailed (failure: CallFailure): void {
-    const worker = this._worker
-    this._openCall = undefined
-    const fate = failure.type === 'notSent' ? AttemptFate.NotSent : failure.type === 'refused' ? AttemptFate.Refused : AttemptFate.Unknown
+  private _onFailed (fate: AttemptFate, detail: string): void {
+    const worker = this._attempted?.worker
     if (fate === AttemptFate.NotSent) this._unsentCount++
     else this._sentCount++
     if (fate === AttemptFate.Unknown) this._mayHaveRun = true
-    if (worker !== undefined) {
-      this._services.statistics.end(worker.workerId)
-      if (fate !== AttemptFate.Refused) this._services.statistics.noteFailure(worker.workerId, steadyNowMs())
-      this._excluded.add(worker.workerId)
-    }
+    if (worker !== undefined) this._excluded.add(worker.workerId)
     this._services.metrics.count('attempts_failed_total', { fate })
     const reason = fate === AttemptFate.Refused ? RefusalReason.WorkerRefused : RefusalReason.FateUnknown
     // Events that wait for the reservation go to the caller first: a resumed run must not repeat them.
     this._relay.whenOpen(() => {
       if (this._isDone) return
       const next = resolveNextStep(fate, { route: this._route, sentCount: this._sentCount, unsentCount: this._unsentCount, mayHaveRun: this._mayHaveRun, hasAnswerBegun: this._relay.hasBegun, timeLeftMs: this._timeLeftMs })
-      this._log('attemptFailed', { worker: worker?.workerId, fate, detail: failure.detail, next: next.type, sent: this._sentCount })
-      this._follow(next, failure.detail, reason)
+      this._log('attemptFailed', { worker: worker?.workerId, fate, detail, next: next.type, sent: this._sentCount })
+      this._follow(next, detail, reason)
     })
   }
 
@@ -263,8 +262,8 @@
 
   private _expire (): void {
     if (this._isDone) return
-    const mayHaveRun = this._mayHaveRun || this._openCall !== undefined || this._relay.hasHead
-    this._cancelCall()
+    const mayHaveRun = this._mayHaveRun || this._isAtWorker || this._relay.hasHead
+    this._attempted?.cancel()
     this._report(this._usedTokens)
     if (this._relay.hasBegun) this._abort('timed out')
     else if (mayHaveRun) this._refuse({ status: 504, reason: RefusalReason.TimedOut })
@@ -273,29 +272,11 @@
 
   private _leave (): void {
     if (this._isDone) return
-    this._cancelCall()
+    this._attempted?.cancel()
     this._report(this._usedTokens)
     this._done('callerGone', 0)
   }
 
-  private _cancelCall (): void {
-    if (this._openCall === undefined || this._worker === undefined) return
-    this._openCall.abort()
-    this._openCall = undefined
-    this._services.statistics.end(this._worker.workerId)
-  }
-
-  private _noteAnswer (): void {
-    this._sentCount++
-    this._openCall = undefined
-    const { statistics, durations } = this._services
-    const tookMs = steadyNowMs() - this._attemptStartedMs
-    const { status, eventCount } = this._relay
-    if (this._worker === undefined) return
-    if (status >= SERVER_ERROR) statistics.end(this._worker.workerId)
-    else statistics.end(this._worker.workerId, durations.note(this._route, tookMs, Math.max(1, eventCount)))
-  }
-
   private get _usedTokens (): number {
     return this._relay.eventCount * (this._service?.engine?.tokensPerEvent ?? 1)
   }
@@ -303,7 +284,7 @@
   private _turnEnd (usedTokens: number): TurnEnd {
     const { program, requestId } = this._request
     const prompt = this._request.prompt.map((part, index, { length }) => index === length - 1 ? { ...part, tokens: part.tokens + usedTokens } : part)
-    return { programId: program?.programId ?? '', requestId, usedTokens, worker: this._sentCount > 0 ? this._worker?.workerId : undefined, prompt }
+    return { programId: program?.programId ?? '', requestId, usedTokens, worker: this._sentCount > 0 ? this._attempted?.worker.workerId : undefined, prompt }
   }
 
   /** Tells the owner what the caller was given; the caller doesn't wait for it. */
@@ -345,7 +326,7 @@
       detail,
       tookMs: Math.round(tookMs),
       firstByteMs: firstByteAtMs === undefined ? undefined : Math.round(firstByteAtMs - this._request.arrivedAtMs),
-      worker: this._worker?.workerId,
+      worker: this._attempted?.worker.workerId,
       sent: this._sentCount,
       unsent: this._unsentCount,
       events: eventCount
