--- a/packages/node/src/common/routed/logClient.ts
+++ b/packages/node/src/common/routed/logClient.ts
@@ -76,6 +76,7 @@
   readNewest (request: NewestRequest): Promise<NewestResult>
   /** Joins a group or stays in it. */
   join (request: JoinRequest): Promise<JoinResult>
-  leave (group: string, member: string, timeoutMs: number): Promise<void>
+  /** False when the log gave no answer. */
+  leave (group: string, member: string, timeoutMs: number): Promise<boolean>
   close (): Promise<void>
 }
--- a/packages/node/src/node/routed/appendQueue.ts
+++ b/packages/node/src/node/routed/appendQueue.ts
@@ -2,14 +2,13 @@
 import type { KeyedRecord, LogFields } from '@trefoilshunt/core'
 import type { AppendResult, ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
+import { AdaptiveTimeout } from './adaptiveTimeout.js'
 
 /** All owners write under one producer name, so that a higher epoch refuses every earlier owner. */
 export const PRODUCER = 'owner'
 /** First time-out of an append; a repeat under the same sequence number is recognised by the log. */
 const FIRST_TIMEOUT_MS = 80
 const MAX_TIMEOUT_MS = 1_500
-/** What is left of a longer time-out after each success: a slow log keeps it long, a single lost answer doesn't. */
-const TIMEOUT_DECAY = 0.8
 const RETRY_MS = 40
 const MAX_RETRY_MS = 250
 /** Records that nobody waits for go with the next append, at the latest after this. */
@@ -52,7 +51,7 @@
   private _sinceMs: number | undefined
   private _lazyRecords: KeyedRecord[] = []
   private _lazyTimer: NodeJS.Timeout | undefined
-  private _timeoutMs = FIRST_TIMEOUT_MS
+  private readonly _timeout = new AdaptiveTimeout({ firstMs: FIRST_TIMEOUT_MS, maxMs: MAX_TIMEOUT_MS })
   private _isStopped = false
 
   constructor (private readonly _options: AppendQueueOptions) {}
@@ -143,7 +142,7 @@
         partition: this._options.partition,
         records: batch.records,
         producer: { producer: PRODUCER, epoch, sequence: isEmpty ? undefined : this._sequence },
-        timeoutMs: this._timeoutMs
+        timeoutMs: this._timeout.ms
       })
       if (this._isStopped) return
       if (result.type === 'appended') {
@@ -162,11 +161,11 @@
 
   private _prepareRepeat (result: AppendResult): void {
     if (result.type === 'outOfSequence') this._sequence = result.expected
-    else if (result.type === 'unknown') this._timeoutMs = Math.min(MAX_TIMEOUT_MS, this._timeoutMs * 2)
+    else if (result.type === 'unknown') this._timeout.noteSilence()
   }
 
   private _finish (batch: Batch): void {
-    this._timeoutMs = Math.max(FIRST_TIMEOUT_MS, this._timeoutMs * TIMEOUT_DECAY)
+    this._timeout.noteAnswer()
     this._inFlight = undefined
     this._sinceMs = undefined
     for (const settle of batch.waiters) settle('recorded')
--- a/packages/node/src/node/routed/partitionHost.ts
+++ b/packages/node/src/node/routed/partitionHost.ts
@@ -2,6 +2,7 @@
 import type { IRandom, LogFields } from '@trefoilshunt/core'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
+import { AdaptiveTimeout } from './adaptiveTimeout.js'
 import { EPOCHS_PER_GENERATION, OwnerState, PartitionOwner, TURN_TOPIC } from './partitionOwner.js'
 
 const GROUP = 'turn-owners'
@@ -13,7 +14,10 @@
 const SETTLING_MS = 700
 /** Partitions that are read at the same time; the rest may have moved on before their turn comes. */
 const PARALLEL_RECOVERIES = 3
-const LEAVE_TIMEOUT_MS = 800
+/** First time-out of joins and leaves, which may be repeated; the log answers in some milliseconds. */
+const FIRST_MEMBER_TIMEOUT_MS = 120
+/** A node that leaves tries for this long to tell the log; after that its membership has nearly run out. */
+const LEAVE_MS = 800
 /** A member that hears no other one for this long while the group has others counts as cut off from them. */
 const ISOLATED_MS = 1_500
 /** An isolated node tries the group again after this: the other members may be gone. */
@@ -57,9 +61,12 @@
   private _lastJoinMs = Number.NEGATIVE_INFINITY
   private _lastJoinWallMs = 0
   private _isStopped = false
+  private readonly _memberTimeout: AdaptiveTimeout
   private _expireTimer: NodeJS.Timeout | undefined
 
-  constructor (private readonly _options: PartitionHostOptions) {}
+  constructor (private readonly _options: PartitionHostOptions) {
+    this._memberTimeout = new AdaptiveTimeout({ firstMs: FIRST_MEMBER_TIMEOUT_MS, maxMs: _options.memberTtlMs / 2 })
+  }
 
   start (): void {
     void this._keepJoined()
@@ -105,7 +112,7 @@
     this._isStopped = true
     clearInterval(this._expireTimer)
     await Promise.all([...this._owners.values()].map(async owner => await owner.close(flushMs)))
-    await this._options.log.leave(GROUP, this._options.member, LEAVE_TIMEOUT_MS)
+    await this._leave()
     for (const owner of [...this._owners.values()]) this._lose(owner, 'stopped')
   }
 
@@ -124,14 +131,16 @@
       if (this._isStopped) return
       const sentMs = steadyNowMs()
       const sentWallMs = Date.now()
-      const result = await log.join({ group: GROUP, member, topic: TURN_TOPIC, ttlMs: memberTtlMs, generation: this._generation, timeoutMs: memberTtlMs / 2 })
+      const result = await log.join({ group: GROUP, member, topic: TURN_TOPIC, ttlMs: memberTtlMs, generation: this._generation, timeoutMs: this._memberTimeout.ms })
       if (this._isStopped) return
       if (result.type === 'joined') {
+        this._memberTimeout.noteAnswer()
         this._lastJoinMs = sentMs
         this._lastJoinWallMs = sentWallMs
         await this._applyMembership(result.generation, result.partitions)
         if (this._isStopped) return
       } else {
+        this._memberTimeout.noteSilence()
         this._options.write('groupJoinFailed', { detail: result.detail, sinceLastMs: Math.round(sentMs - this._lastJoinMs) })
       }
       const isSettling = result.type === 'joined' && steadyNowMs() - this._changedAtMs < SETTLING_MS
@@ -145,12 +154,23 @@
     this._options.write('isolated', { partitions: [...this._owners.keys()].join(',') })
     await Promise.all([...this._owners.values()].map(async owner => await owner.close(HANDOVER_MS)))
     for (const owner of [...this._owners.values()]) this._lose(owner, 'isolated')
-    await this._options.log.leave(GROUP, this._options.member, LEAVE_TIMEOUT_MS)
+    await this._leave()
     const retryAtMs = steadyNowMs() + ISOLATED_RETRY_MS
     while (!this._options.hearsPeers() && steadyNowMs() < retryAtMs && !this._isStopped) await delay(SETTLING_JOIN_MS)
     this._aloneSinceMs = undefined
   }
 
+  /** Without it the partitions wait until the membership has run out. */
+  private async _leave (): Promise<void> {
+    const untilMs = steadyNowMs() + LEAVE_MS
+    while (steadyNowMs() < untilMs) {
+      if (await this._options.log.leave(GROUP, this._options.member, this._memberTimeout.ms)) return
+      this._memberTimeout.noteSilence()
+      await delay(SETTLING_JOIN_MS)
+    }
+    this._options.write('groupLeaveFailed', { tookMs: LEAVE_MS })
+  }
+
   private async _applyMembership (generation: number, partitions: readonly number[]): Promise<void> {
     const hasChanged = generation !== this._generation
     this._generation = generation
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -2,6 +2,7 @@
 import { type CachedPart, type GrantRequest, type IRandom, isAccountKey, type KeptTurn, type KeyedRecord, type LogFields, PartitionState, type TurnEnd } from '@trefoilshunt/core'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
+import { AdaptiveTimeout } from './adaptiveTimeout.js'
 import { AppendQueue, describeAppend, PRODUCER, type RecordOutcome } from './appendQueue.js'
 
 export const TURN_TOPIC = 'keyed.turns'
@@ -52,7 +53,7 @@
   private _ownerState: OwnerState = OwnerState.Waiting
   private _isHistoryComplete = false
   private _isClosing = false
-  private _recoverTimeoutMs = FIRST_RECOVER_TIMEOUT_MS
+  private readonly _recoverTimeout = new AdaptiveTimeout({ firstMs: FIRST_RECOVER_TIMEOUT_MS, maxMs: MAX_RECOVER_TIMEOUT_MS })
   private readonly _queue: AppendQueue
   /** Ends of kept turns that are on their way to the log, by request. */
   private readonly _pendingEnds = new Map<string, Promise<RecordOutcome>>()
@@ -118,7 +119,7 @@
     let count = 0
     for (;;) {
       if (this._isLost()) return
-      const page = await this._options.log.readNewest({ topic: TURN_TOPIC, partition: this.partition, afterKey, timeoutMs: this._recoverTimeoutMs })
+      const page = await this._options.log.readNewest({ topic: TURN_TOPIC, partition: this.partition, afterKey, timeoutMs: this._recoverTimeout.ms })
       if (page.type === 'failed') {
         await this._delayRecovery(page.detail)
         continue
@@ -237,7 +238,7 @@
     for (;;) {
       if (this._isLost()) return false
       const result = await this._options.log.append({
-        topic: TURN_TOPIC, partition: this.partition, records: [], producer: { producer: PRODUCER, epoch: this._epoch }, timeoutMs: this._recoverTimeoutMs
+        topic: TURN_TOPIC, partition: this.partition, records: [], producer: { producer: PRODUCER, epoch: this._epoch }, timeoutMs: this._recoverTimeout.ms
       })
       if (result.type === 'appended') return true
       if (result.type === 'fenced') {
@@ -255,8 +256,8 @@
 
   /** Waits a moment; the next call gets more time, since the log may be slow. */
   private async _delayRecovery (detail: string): Promise<void> {
-    this._options.write('partitionRecoveryDelayed', { partition: this.partition, epoch: this.epoch, timeoutMs: this._recoverTimeoutMs, detail })
-    this._recoverTimeoutMs = Math.min(MAX_RECOVER_TIMEOUT_MS, this._recoverTimeoutMs * 2)
+    this._options.write('partitionRecoveryDelayed', { partition: this.partition, epoch: this.epoch, timeoutMs: this._recoverTimeout.ms, detail })
+    this._recoverTimeout.noteSilence()
     await delay(RECOVER_RETRY_MS)
   }
 
--- a/packages/node/test/node/routed/fakeLog.ts
+++ b/packages/node/test/node/routed/fakeLog.ts
@@ -8,6 +8,9 @@
   isDown = false
   /** Appends that are carried out without an answer, from now on: their callers wait until their time-out. */
   lostAnswers = 0
+  /** Joins and leaves that are lost on their way, from now on. */
+  lostJoins = 0
+  lostLeaves = 0
   /** Reads of pages that get no answer, from now on. */
   lostPages = 0
   /** Appends asked for so far, without those that failed. */
@@ -58,14 +61,27 @@
     return { type: 'page', records: items, hasMore, endOffset: end }
   }
 
-  async join ({ group, member, ttlMs, generation }: JoinRequest): Promise<JoinResult> {
+  async join ({ group, member, ttlMs, generation, timeoutMs }: JoinRequest): Promise<JoinResult> {
     await pause()
     if (this.isDown) return { type: 'failed', detail: 'down' }
+    if (this.lostJoins > 0) {
+      this.lostJoins--
+      await pause(timeoutMs)
+      return { type: 'failed', detail: 'no answer' }
+    }
     return { type: 'joined', ...this.log.join(group, member, ttlMs, generation) }
   }
 
-  async leave (group: string, member: string): Promise<void> {
+  async leave (group: string, member: string, timeoutMs: number): Promise<boolean> {
+    await pause()
+    if (this.isDown) return false
+    if (this.lostLeaves > 0) {
+      this.lostLeaves--
+      await pause(timeoutMs)
+      return false
+    }
     this.log.leave(group, member)
+    return true
   }
 
   async close (): Promise<void> {}
--- a/packages/node/test/node/routed/partitionHost.test.ts
+++ b/packages/node/test/node/routed/partitionHost.test.ts
@@ -8,14 +8,14 @@
 const PARTITIONS = 4
 const TTL_MS = 400
 
-function createHost (log: FakeLog, member: string, hearsPeers: () => boolean = () => true): PartitionHost {
+function createHost (log: FakeLog, member: string, hearsPeers: () => boolean = () => true, memberTtlMs = TTL_MS): PartitionHost {
   return new PartitionHost({
     member,
     log,
     partitionCount: PARTITIONS,
     maxRecordBytes: 4_096,
     maxAppendBytes: 100_000,
-    memberTtlMs: TTL_MS,
+    memberTtlMs,
     logSilenceMs: () => 0,
     hearsPeers,
     random: new SeededRandom(member.length),
@@ -49,6 +49,26 @@
   hosts[2].close()
 })
 
+test('a lost join or leave is repeated long before the membership runs out', async () => {
+  const log = new FakeLog(new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() }))
+  const [first, second] = ['a', 'bb'].map(member => createHost(log, member, undefined, 4_000))
+  log.lostJoins = 1
+  const startedMs = performance.now()
+  first.start()
+  await waitFor(() => first.served.length === PARTITIONS)
+  const startMs = performance.now() - startedMs
+  second.start()
+  await waitFor(() => second.served.length === PARTITIONS / 2)
+  log.lostLeaves = 2
+  const stoppedMs = performance.now()
+  await first.stop(200)
+  await waitFor(() => second.served.length === PARTITIONS)
+  const handoverMs = performance.now() - stoppedMs
+  second.close()
+  assert.ok(startMs < 1_500, `the start took ${Math.round(startMs)} ms`)
+  assert.ok(handoverMs < 2_500, `the handover took ${Math.round(handoverMs)} ms`)
+})
+
 test('a node that restarts under its name has its partitions back without waiting for its old membership to lapse', async () => {
   const log = new FakeLog(new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() }))
   const first = createHost(log, 'a')
