--- a/packages/core/src/common/dispatch/quarantine.ts
+++ b/packages/core/src/common/dispatch/quarantine.ts
@@ -4,18 +4,11 @@
 import { ILogger } from '../kernel/effectQueue.js'
 import { NodeIdentity } from '../kernel/node.js'
 import { IConfiguration } from '../configuration/configuration.js'
+import { CrashSuspicions } from './crashSuspicions.js'
 
 const PUBLISH_TIMEOUT_MS = 60_000
-/** Time after which a suspicion without a second crash is forgotten. */
-const SUSPICION_MS = 600_000
-/** Crashes of different workers that prove a request guilty. */
+/** Two connections that break under the same request; which of the requests beside it is guilty, only a second crash tells. */
 const CRASHES_TO_QUARANTINE = 2
-const MAX_SUSPECTS = 10_000
-
-interface Suspicion {
-  workers: Set<string>
-  sinceMs: number
-}
 
 /** Remembers requests that were in flight when a worker crashed. All nodes share the knowledge through the control stream. */
 export interface IQuarantine {
@@ -33,8 +26,7 @@
 
 @injectable()
 export class Quarantine implements IQuarantine {
-  private readonly _suspicions = new Map<string, Suspicion>()
-  private readonly _quarantined = new Set<string>()
+  private readonly _suspicions = new CrashSuspicions({ crashesToQuarantine: CRASHES_TO_QUARANTINE })
 
   constructor (
     @inject(NodeIdentity) private readonly _identity: NodeIdentity,
@@ -46,7 +38,7 @@
   start (): void {
     this._configuration.onDidFold(({ record }) => {
       if (record.type === 'requestSuspected') this._add(record.fingerprint, record.worker)
-      if (record.type === 'requestCleared') this._suspicions.delete(record.fingerprint)
+      if (record.type === 'requestCleared') this._suspicions.clear(record.fingerprint)
       if (record.type === 'controlSnapshot') {
         for (const suspect of record.state.suspects) {
           for (const worker of suspect.workers) this._add(suspect.fingerprint, worker)
@@ -62,31 +54,25 @@
   }
 
   noteSuccess (fingerprint: string): void {
-    if (!this._suspicions.delete(fingerprint)) return
+    if (!this._suspicions.clear(fingerprint)) return
     const record = { type: 'requestCleared', fingerprint, by: this._identity.node, atMs: this._clock.nowMs() } as const
     this._configuration.publish(record, PUBLISH_TIMEOUT_MS, () => {})
   }
 
   isSuspect (fingerprint: string): boolean {
-    const suspicion = this._suspicions.get(fingerprint)
-    return suspicion !== undefined && this._clock.nowMs() - suspicion.sinceMs < SUSPICION_MS
+    return this._suspicions.isSuspect(fingerprint, this._clock.nowMs())
   }
 
   crashedWorkers (fingerprint: string): Iterable<string> {
-    return this._suspicions.get(fingerprint)?.workers ?? []
+    return this._suspicions.crashedWorkers(fingerprint)
   }
 
   isQuarantined (fingerprint: string): boolean {
-    return this._quarantined.has(fingerprint)
+    return this._suspicions.isQuarantined(fingerprint)
   }
 
   private _add (fingerprint: string, worker: string): void {
-    const suspicion = this._suspicions.get(fingerprint) ?? { workers: new Set<string>(), sinceMs: this._clock.nowMs() }
-    suspicion.workers.add(worker)
-    this._suspicions.set(fingerprint, suspicion)
-    if (this._suspicions.size > MAX_SUSPECTS) this._suspicions.delete(this._suspicions.keys().next().value as string)
-    if (suspicion.workers.size < CRASHES_TO_QUARANTINE || this._quarantined.has(fingerprint)) return
-    this._quarantined.add(fingerprint)
-    this._logger.warn('requestQuarantined', { fingerprint, workers: [...suspicion.workers].join(',') })
+    if (!this._suspicions.add(fingerprint, worker, this._clock.nowMs())) return
+    this._logger.warn('requestQuarantined', { fingerprint, workers: [...this._suspicions.crashedWorkers(fingerprint)].join(',') })
   }
 }
--- a/packages/node/src/common/routed/peerMessages.ts
+++ b/packages/node/src/common/routed/peerMessages.ts
@@ -13,6 +13,15 @@
   zone: string
 }
 
+/** A crash of a worker that a node saw, with the request that the worker ran. */
+export interface SeenCrash {
+  /** Equal for a request that comes again. */
+  fingerprint: string
+  /** The worker's id and start. */
+  worker: string
+  agoMs: number
+}
+
 /** Sent to every peer periodically, and at once when something in it matters to callers. */
 export interface NodeStatus {
   type: 'status'
@@ -28,6 +37,8 @@
   logSilenceMs: number
   /** Own requests in flight by worker. */
   load: Record<string, number>
+  /** Crashes of workers that the sender saw lately. */
+  crashes?: SeenCrash[]
   /** Peers that the sender knows; absent when the receiver was told before. */
   peers?: NodeAddress[]
 }
--- a/packages/node/src/common/routed/routedRequest.ts
+++ b/packages/node/src/common/routed/routedRequest.ts
@@ -19,6 +19,8 @@
 export interface RoutedRequest {
   /** The caller's id of this attempt; a worker echoes it. */
   requestId: string
+  /** Address from which the request came, without port. */
+  callerAddress: string
   method: string
   host: string
   /** Path and query. */
@@ -55,6 +57,7 @@
   BudgetSpent: 'budgetSpent',
   NoSuchTurn: 'noSuchTurn',
   Overloaded: 'overloaded',
+  Quarantined: 'quarantined',
   FateUnknown: 'fateUnknown',
   TimedOut: 'timedOut'
 } as const
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -13,6 +13,8 @@
 const BUSY_RETRY_AFTER_MS = 120
 /** Callers come back after this when the owner of their program is being replaced. */
 const OWNER_RETRY_AFTER_MS = 300
+/** A request that crashes workers is not wanted back soon. */
+const QUARANTINE_RETRY_AFTER_MS = 60_000
 /** Part of the time left for which a request may wait for the owner of its program. */
 const GRANT_WAIT_SHARE = 0.4
 /** A kept turn's answer is finished at the latest this long before its caller gives up. */
@@ -113,6 +115,10 @@
   }
 
   private _attempt (): void {
+    if (this._services.crashes.isQuarantined(this._request)) {
+      this._endWith({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'the request crashed several workers', RefusalReason.Quarantined)
+      return
+    }
     const worker = this._chooseWorker()
     if (worker === undefined) {
       this._endWith({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'no worker', RefusalReason.NoWorker)
@@ -194,6 +200,7 @@
   private _onEnd (): void {
     this._sentCount++
     this._attempted?.noteAnswer(this._relay.status, Math.max(1, this._relay.eventCount))
+    this._services.crashes.noteServed(this._request)
     this._relay.endRun(() => {
       if (this._relay.isStream && this._grant !== undefined) {
         void this._finishTurn()
@@ -234,6 +241,7 @@
     else this._sentCount++
     if (fate === AttemptFate.Unknown) this._mayHaveRun = true
     if (worker !== undefined) this._excluded.add(worker.workerId)
+    if (worker !== undefined && fate === AttemptFate.Unknown) void this._services.crashes.noteBroken(this._request, worker)
     this._services.metrics.count('attempts_failed_total', { fate })
     const reason = fate === AttemptFate.Refused ? RefusalReason.WorkerRefused : RefusalReason.FateUnknown
     // Events that wait for the reservation go to the caller first: a resumed run must not repeat them.
@@ -256,7 +264,7 @@
     if (this._isDone) return
     this._report(this._usedTokens)
     if (this._relay.hasBegun) this._abort(detail)
-    else if (next.type === 'notRun') this._refuse({ status: 503, reason, retryAfterMs: BUSY_RETRY_AFTER_MS }, detail)
+    else if (next.type === 'notRun') this._refuse({ status: 503, reason, retryAfterMs: reason === RefusalReason.Quarantined ? QUARANTINE_RETRY_AFTER_MS : BUSY_RETRY_AFTER_MS }, detail)
     else this._refuse({ status: 502, reason: RefusalReason.FateUnknown }, detail)
   }
 
--- a/packages/node/src/node/routed/routedCallServices.ts
+++ b/packages/node/src/node/routed/routedCallServices.ts
@@ -2,6 +2,7 @@
 import type { IRouteTable, IWorkerChoice, IWorkerRegistry, IWorkerStatistics, LogFields } from '@trefoilshunt/core'
 import type { Metrics } from '../../common/metrics.js'
 import type { IWorkerClient } from '../../common/routed/workerClient.js'
+import type { CrashWatch } from './crashWatch.js'
 import type { RouteDurations } from './routeDurations.js'
 import type { TurnService } from './turnService.js'
 
@@ -14,6 +15,7 @@
   durations: RouteDurations
   workers: IWorkerClient
   turns: TurnService
+  crashes: CrashWatch
   metrics: Metrics
   /** Nodes in the system, for the share of a worker's connections. */
   nodeCount: () => number
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -11,6 +11,7 @@
 import type { IWorkerClient } from '../../common/routed/workerClient.js'
 import type { IEventLog } from '../logger.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
+import { CrashWatch } from './crashWatch.js'
 import { type IRoutedCodec, Knowledge } from './knowledge.js'
 import { NodeDirectory } from './nodeDirectory.js'
 import { PartitionHost } from './partitionHost.js'
@@ -74,6 +75,7 @@
   private readonly _host: PartitionHost
   private readonly _turns: TurnService
   private readonly _knowledge: Knowledge
+  private readonly _crashes: CrashWatch
   private readonly _services: RoutedCallServices
   private readonly _loopDelay = monitorEventLoopDelay({ resolution: 20 })
   private _statusTimer: NodeJS.Timeout | undefined
@@ -132,6 +134,7 @@
       onChanged: () => this._sendStatus(),
       write
     })
+    this._crashes = new CrashWatch({ onSeen: () => this._sendStatus(), write })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._host, mesh: this._mesh, directory: this._directory, write })
     const { documentTopic, documentKey, workerTopic, codec } = _options
     this._knowledge = new Knowledge({
@@ -162,6 +165,7 @@
       durations: new RouteDurations(),
       workers: _options.workers,
       turns: this._turns,
+      crashes: this._crashes,
       metrics: this.metrics,
       nodeCount: () => this._directory.alive.length + 1,
       isDocumentCertain: () => this._knowledge.isDocumentCertain,
@@ -286,6 +290,7 @@
     if (this._isStopped) return
     this._statusSentAtMs = steadyNowMs()
     this._statusDigest = this._digestStatus()
+    const crashes = this._crashes.seen
     const status: NodeStatus = {
       type: 'status',
       from: this._self,
@@ -295,7 +300,8 @@
       owned: this._ownedPartitions,
       documentVersion: this._routes.version,
       logSilenceMs: Math.round(this._knowledge.logSilenceMs),
-      load: this._statistics.ownLoad()
+      load: this._statistics.ownLoad(),
+      crashes: crashes.length === 0 ? undefined : crashes
     }
     const peers = this._directory.alive.map(({ from }) => from)
     this._mesh.sendStatus({ status, peers, peersVersion: peers.map(({ incarnation }) => incarnation).join() })
@@ -314,6 +320,7 @@
     this._directory.noteStatus(status)
     this._statistics.setPeerLoad(status.from.node, status.load)
     this._host.noteOwners(status.owned)
+    this._crashes.takeSeen(status.crashes ?? [])
     if (status.documentVersion > this._routes.version) void this._knowledge.fetchDocument(status.from.node)
   }
 
