--- a/packages/core/src/common/workers/workerChoice.ts
+++ b/packages/core/src/common/workers/workerChoice.ts
@@ -94,12 +94,15 @@
       case WorkerChoicePolicy.RoundRobin: return candidates[this._turn++ % candidates.length]
       case WorkerChoicePolicy.LeastConnections: return this._lowest(candidates, candidate => this._statistics.inFlightOf(candidate.workerId))
       case WorkerChoicePolicy.SessionAffinity: return previous ?? this._lowest(candidates, candidate => this._statistics.inFlightOf(candidate.workerId))
-      default: return this._lowest(candidates, candidate => this.expectedMs(candidate, query))
+      default: {
+        const homes = this._homesOf(query.prompt[0]?.id, query.candidates)
+        return this._lowest(candidates, candidate => this._expectedMs(candidate, query, homes))
+      }
     }
   }
 
   /** Expected time until the worker has answered, in milliseconds. */
-  expectedMs (worker: WorkerRegistration, query: WorkerChoiceQuery): number {
+  private _expectedMs (worker: WorkerRegistration, query: WorkerChoiceQuery, homes: ReadonlySet<string>): number {
     const { prefillTokensPerMs, batchSlowdown, crossZoneMs, connectMs, failureMs } = this._options
     const inFlight = this._statistics.inFlightOf(worker.workerId)
     const slots = Math.max(1, worker.slots)
@@ -107,7 +110,7 @@
     const runningMs = query.durationMs * this._slowness(worker) * (1 + batchSlowdown * running)
     const waitMs = inFlight < slots ? 0 : runningMs * (inFlight - slots + 1) / slots
     // Reading a prompt holds up the tokens of every request of the batch.
-    const prefillMs = this._missingTokens(worker, query) / prefillTokensPerMs * (1 + running)
+    const prefillMs = this._missingTokens(worker, query, homes) / prefillTokensPerMs * (1 + running)
     const zoneMs = worker.zone === query.zone ? 0 : crossZoneMs
     const connectionMs = query.isConnected(worker) ? 0 : connectMs
     const riskMs = failureMs * this._statistics.failureRateOf(worker.workerId, query.nowMs)
@@ -121,30 +124,28 @@
   }
 
   /** Tokens that the worker has to read: from the first gap in its cache on. */
-  private _missingTokens (worker: WorkerRegistration, { prompt, cached, candidates }: WorkerChoiceQuery): number {
+  private _missingTokens (worker: WorkerRegistration, { prompt, cached }: WorkerChoiceQuery, homes: ReadonlySet<string>): number {
     let missing = 0
     for (const [index, part] of prompt.entries()) {
-      const cachedTokens = missing > 0 ? 0 : this._cachedTokens(worker, part, index, cached, candidates)
+      const isShared = index === 0 && homes.has(worker.workerId)
+      const cachedTokens = missing > 0 ? 0 : isShared ? part.tokens : this._cachedTokens(worker, part, cached)
       missing += Math.max(0, part.tokens - cachedTokens)
     }
     return missing
   }
 
-  private _cachedTokens (worker: WorkerRegistration, part: PromptPart, index: number, cached: readonly CachedPart[], candidates: readonly WorkerRegistration[]): number {
+  private _cachedTokens (worker: WorkerRegistration, part: PromptPart, cached: readonly CachedPart[]): number {
     const told = cached.find(known => known.id === part.id && known.worker === worker.workerId)?.tokens ?? 0
     const seen = this._statistics.cachedTokensOf(worker.workerId, part.id)
-    const isShared = index === 0 && this._isHomeOf(worker, part.id, candidates)
-    return isShared ? part.tokens : Math.max(told, seen)
+    return Math.max(told, seen)
   }
 
-  /** True for the few workers on which a shared part is read on purpose; every node names the same ones. */
-  private _isHomeOf (worker: WorkerRegistration, partId: string, candidates: readonly WorkerRegistration[]): boolean {
-    const weight = hash32(`${partId} ${worker.workerId}`)
-    let heavier = 0
-    for (const candidate of candidates) {
-      if (hash32(`${partId} ${candidate.workerId}`) > weight && ++heavier >= this._options.prefixCopies) return false
-    }
-    return true
+  /** The few workers on which a shared part is read on purpose; every node names the same ones. */
+  private _homesOf (partId: string | undefined, candidates: readonly WorkerRegistration[]): ReadonlySet<string> {
+    if (partId === undefined) return new Set()
+    const weighed = candidates.map(({ workerId }) => ({ workerId, weight: hash32(`${partId} ${workerId}`) }))
+    weighed.sort((left, right) => right.weight - left.weight)
+    return new Set(weighed.slice(0, this._options.prefixCopies).map(({ workerId }) => workerId))
   }
 
   private _lowest (candidates: readonly WorkerRegistration[], costOf: (candidate: WorkerRegistration) => number): WorkerRegistration {
--- a/packages/core/src/common/workers/workerStatistics.ts
+++ b/packages/core/src/common/workers/workerStatistics.ts
@@ -46,6 +46,8 @@
 export class WorkerStatistics implements IWorkerStatistics {
   private readonly _figures = new Map<string, WorkerFigures>()
   private readonly _peerLoads = new Map<string, Readonly<Record<string, number>>>()
+  /** Sums of the peers' loads by worker, so that a choice among many workers needs no look at each peer. */
+  private readonly _peerTotals = new Map<string, number>()
 
   begin (workerId: string): void {
     this._figuresOf(workerId).inFlight++
@@ -79,11 +81,16 @@
   }
 
   setPeerLoad (peer: string, inFlight: Readonly<Record<string, number>>): void {
+    this.dropPeer(peer)
     this._peerLoads.set(peer, inFlight)
+    this._addToTotals(inFlight, 1)
   }
 
   dropPeer (peer: string): void {
+    const known = this._peerLoads.get(peer)
+    if (known === undefined) return
     this._peerLoads.delete(peer)
+    this._addToTotals(known, -1)
   }
 
   forget (workerId: string): void {
@@ -94,9 +101,7 @@
   }
 
   inFlightOf (workerId: string): number {
-    let total = this._figures.get(workerId)?.inFlight ?? 0
-    for (const load of this._peerLoads.values()) total += load[workerId] ?? 0
-    return total
+    return (this._figures.get(workerId)?.inFlight ?? 0) + (this._peerTotals.get(workerId) ?? 0)
   }
 
   ownLoad (): Record<string, number> {
@@ -121,6 +126,14 @@
     return this._figures.get(workerId)?.cachedParts.get(partId) ?? 0
   }
 
+  private _addToTotals (load: Readonly<Record<string, number>>, factor: 1 | -1): void {
+    for (const [workerId, inFlight] of Object.entries(load)) {
+      const total = (this._peerTotals.get(workerId) ?? 0) + factor * inFlight
+      if (total === 0) this._peerTotals.delete(workerId)
+      else this._peerTotals.set(workerId, total)
+    }
+  }
+
   private _figuresOf (workerId: string): WorkerFigures {
     let figures = this._figures.get(workerId)
     if (figures === undefined) {
--- a/packages/core/test/common/workers/workers.test.ts
+++ b/packages/core/test/common/workers/workers.test.ts
@@ -92,6 +92,19 @@
   assert.is(createChoice(failing).chooseWorker(createQuery(workers, { excluded: new Set(['w1']) }))?.workerId, 'w0')
 })
 
+test('the load of all nodes follows each one\'s newest figures and forgets a node that is gone', () => {
+  const statistics = new WorkerStatistics()
+  statistics.begin('w')
+  statistics.setPeerLoad('a', { w: 3, v: 1 })
+  statistics.setPeerLoad('b', { w: 2 })
+  assert.equal([statistics.inFlightOf('w'), statistics.inFlightOf('v')], [6, 1])
+  statistics.setPeerLoad('a', { w: 1 })
+  assert.equal([statistics.inFlightOf('w'), statistics.inFlightOf('v')], [4, 0])
+  statistics.dropPeer('a')
+  statistics.dropPeer('a')
+  assert.is(statistics.inFlightOf('w'), 3)
+})
+
 test('chance in the lengths of answers does not move work, a worker that is slow for good loses it', () => {
   const workers = ['w0', 'w1'].map(id => createWorker(id))
   const statistics = new WorkerStatistics()
