--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -9,6 +9,8 @@
 const MAX_FRAME_BYTES = 64 * 1024 * 1024
 /** A connection without a frame for this many status periods is taken as dead: four answers may be late. */
 const SILENT_PERIODS = 4.5
+/** A changed list of peers goes over a connection at most this often: while a system starts, the list changes all the time. */
+const PEERS_PERIOD_MS = 5_000
 /** Pause between two tries to reach a peer. */
 const REDIAL_MS = 400
 const CONNECT_TIMEOUT_MS = 800
@@ -34,6 +36,8 @@
   onRequest: (request: PeerRequest, respond: PeerResponder) => void
   onConnected: (peer: string) => void
   onLost: (peer: string, detail: string) => void
+  /** Shortest time between two lists of peers on one connection. */
+  peersPeriodMs?: number
 }
 
 interface PendingRequest {
@@ -44,15 +48,15 @@
 export interface StatusOptions {
   /** Without peers. */
   status: NodeStatus
-  /** Peers to tell of; sent once for each change of `peersVersion` to each connection. */
+  /** Peers to tell of: to a new connection at once, to others some time after a change of `peersVersion`. */
   peers: readonly NodeAddress[]
   peersVersion: string
 }
 
 interface Dialed {
   address: NodeAddress
-  /** Version of the list of peers that was sent on this connection. */
-  toldPeersVersion?: string
+  /** The list of peers that was last sent on this connection. */
+  toldPeers?: { version: string, atMs: number }
   socket?: Socket
   isConnected: boolean
   lastHeardMs: number
@@ -74,7 +78,11 @@
   private _lastId = 0
   private _isClosed = false
 
-  constructor (private readonly _options: PeerMeshOptions) {}
+  private readonly _peersPeriodMs: number
+
+  constructor (private readonly _options: PeerMeshOptions) {
+    this._peersPeriodMs = _options.peersPeriodMs ?? PEERS_PERIOD_MS
+  }
 
   get peers (): string[] {
     return [...this._dialed.keys()]
@@ -129,13 +137,14 @@
     for (const dialed of this._dialed.values()) {
       if (dialed.isConnected && nowMs - dialed.lastHeardMs > SILENT_PERIODS * status.periodMs) this._drop(dialed, 'silent')
       if (!dialed.isConnected) continue
-      if (dialed.toldPeersVersion === peersVersion) {
+      const { toldPeers } = dialed
+      if (toldPeers !== undefined && (toldPeers.version === peersVersion || nowMs - toldPeers.atMs < this._peersPeriodMs)) {
         dialed.socket?.write(frame)
         continue
       }
       frameWithPeers ??= this._encode({ t: 's', s: { ...status, peers: [...peers] } })
       dialed.socket?.write(frameWithPeers)
-      dialed.toldPeersVersion = peersVersion
+      dialed.toldPeers = { version: peersVersion, atMs: nowMs }
     }
   }
 
@@ -182,7 +191,7 @@
     dialed.nextDialMs = steadyNowMs() + REDIAL_MS
     const socket = createConnection({ host, port, noDelay: true })
     dialed.socket = socket
-    dialed.toldPeersVersion = undefined
+    dialed.toldPeers = undefined
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS)
     socket.on('connect', () => {
       clearTimeout(timer)
--- a/packages/node/test/node/routed/peerMesh.test.ts
+++ b/packages/node/test/node/routed/peerMesh.test.ts
@@ -16,8 +16,10 @@
   for (let tries = 0; tries < 200 && !isDone(); tries++) await new Promise<void>(resolve => { setTimeout(resolve, 10) })
 }
 
+const PEERS_PERIOD_MS = 100
+
 function createMesh (self: NodeAddress, onStatus: (status: NodeStatus) => void = () => {}, onLost: (peer: string) => void = () => {}): PeerMesh {
-  return new PeerMesh({ self, onStatus, onRequest: () => {}, onConnected: () => {}, onLost })
+  return new PeerMesh({ self, peersPeriodMs: PEERS_PERIOD_MS, onStatus, onRequest: () => {}, onConnected: () => {}, onLost })
 }
 
 async function createAddress (node: string): Promise<NodeAddress> {
@@ -28,7 +30,7 @@
   return { type: 'status', from, periodMs: 200, isReady: true, isDraining: false, owned: [], documentVersion: 1, logSilenceMs: 0, load: {} }
 }
 
-test('the list of peers goes over a connection only when it has changed', async () => {
+test('the list of peers goes over a connection at first, and after changes in intervals', async () => {
   const [near, far] = [await createAddress('near'), await createAddress('far')]
   const statuses: NodeStatus[] = []
   const [sender, receiver] = [createMesh(near), createMesh(far, status => statuses.push(status))]
@@ -36,9 +38,12 @@
   sender.addPeer(far)
   await waitUntil(() => sender.isConnected('far'))
   const status = createStatus(near)
-  for (const peersVersion of ['1', '1', '1', '2']) sender.sendStatus({ status, peers: [far], peersVersion })
-  await waitUntil(() => statuses.length === 4)
-  assert.equal(statuses.map(({ peers }) => peers?.length), [1, undefined, undefined, 1])
+  const send = (peersVersion: string): void => sender.sendStatus({ status, peers: [far], peersVersion })
+  for (const peersVersion of ['1', '1', '2', '3']) send(peersVersion)
+  await new Promise<void>(resolve => { setTimeout(resolve, PEERS_PERIOD_MS + 20) })
+  for (const peersVersion of ['3', '3']) send(peersVersion)
+  await waitUntil(() => statuses.length === 6)
+  assert.equal(statuses.map(({ peers }) => peers?.length), [1, undefined, undefined, undefined, 1, undefined])
   await Promise.all([sender.close(), receiver.close()])
 })
 
