--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -19,12 +19,9 @@
 import { RouteDurations } from './routeDurations.js'
 import { startRoutedCall } from './routedCalls.js'
 import type { RoutedCallServices } from './routedCallServices.js'
+import { StatusBroadcast } from './statusBroadcast.js'
 import { TurnService } from './turnService.js'
 
-/** How often a node looks whether its status has changed in what matters to callers. */
-const STATUS_CHECK_MS = 200
-/** Time between two statuses for each peer: a node of a large system spends no more on them than one among twenty. */
-const STATUS_MS_PER_PEER = 10
 /** A stopping node takes new requests for this long: callers keep an old list of addresses that much. */
 const LINGER_MS = 3_000
 const STOP_POLL_MS = 20
@@ -76,12 +73,10 @@
   private readonly _turns: TurnService
   private readonly _knowledge: Knowledge
   private readonly _crashes: CrashWatch
+  private readonly _broadcast: StatusBroadcast
   private readonly _services: RoutedCallServices
   private readonly _loopDelay = monitorEventLoopDelay({ resolution: 20 })
-  private _statusTimer: NodeJS.Timeout | undefined
   private _forgetTimer: NodeJS.Timeout | undefined
-  private _statusSentAtMs = Number.NEGATIVE_INFINITY
-  private _statusDigest = ''
   private _openCount = 0
   private _isDraining = false
   private _isStopped = false
@@ -121,6 +116,7 @@
         this._directory.noteLost(peer)
       }
     })
+    this._broadcast = new StatusBroadcast({ mesh: this._mesh, directory: this._directory, compose: () => this._composeStatus() })
     this._host = new PartitionHost({
       member: node,
       log,
@@ -131,10 +127,10 @@
       logSilenceMs: () => this._knowledge.logSilenceMs,
       hearsPeers: () => this._directory.alive.length > 0,
       random: container.resolve<IRandom>(IRandom),
-      onChanged: () => this._sendStatus(),
+      onChanged: () => this._broadcast.send(),
       write
     })
-    this._crashes = new CrashWatch({ onSeen: () => this._sendStatus(), write })
+    this._crashes = new CrashWatch({ onSeen: () => this._broadcast.send(), write })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._host, mesh: this._mesh, directory: this._directory, write })
     const { documentTopic, documentKey, workerTopic, codec } = _options
     this._knowledge = new Knowledge({
@@ -197,7 +193,7 @@
     this._knowledge.start()
     this._host.start()
     void this._knowledge.announce(this._self)
-    this._statusTimer = setInterval(() => this._keepStatus(), STATUS_CHECK_MS)
+    this._broadcast.start()
     this._forgetTimer = setInterval(() => this._directory.forgetSilent(), FORGET_PERIOD_MS)
   }
 
@@ -228,7 +224,7 @@
     const startedMs = steadyNowMs()
     const endMs = startedMs + this._options.stopGraceMs - STOP_MARGIN_MS
     this._write('info', 'stopBegun', { openRequests: this._openCount, partitions: this._host.served.length })
-    this._sendStatus()
+    this._broadcast.send()
     const handover = this._host.stop(FLUSH_MS)
     while (steadyNowMs() < endMs) {
       if (steadyNowMs() - startedMs > LINGER_MS && this._openCount === 0) break
@@ -242,7 +238,7 @@
   async close (): Promise<void> {
     if (this._isStopped) return
     this._isStopped = true
-    clearInterval(this._statusTimer)
+    this._broadcast.stop()
     clearInterval(this._forgetTimer)
     this._loopDelay.disable()
     this._knowledge.stop()
@@ -274,46 +270,19 @@
     })
   }
 
-  /** Time between two statuses while nothing changes. */
-  private get _statusPeriodMs (): number {
-    return Math.max(STATUS_CHECK_MS, STATUS_MS_PER_PEER * this._directory.size)
-  }
-
-  private _keepStatus (): void {
-    this._mesh.redial()
-    // A timer fires a little early or late: half a check decides which one is nearest.
-    const isDue = steadyNowMs() - this._statusSentAtMs > this._statusPeriodMs - STATUS_CHECK_MS / 2
-    if (isDue || this._statusDigest !== this._digestStatus()) this._sendStatus()
-  }
-
-  private _sendStatus (): void {
-    if (this._isStopped) return
-    this._statusSentAtMs = steadyNowMs()
-    this._statusDigest = this._digestStatus()
+  private _composeStatus (): Omit<NodeStatus, 'periodMs' | 'peers'> {
     const crashes = this._crashes.seen
-    const status: NodeStatus = {
+    return {
       type: 'status',
       from: this._self,
-      periodMs: this._statusPeriodMs,
       isReady: this.isReady,
       isDraining: this._isDraining,
-      owned: this._ownedPartitions,
+      owned: this._host.served.map(owner => [owner.partition, owner.epoch]),
       documentVersion: this._routes.version,
       logSilenceMs: Math.round(this._knowledge.logSilenceMs),
       load: this._statistics.ownLoad(),
       crashes: crashes.length === 0 ? undefined : crashes
     }
-    const peers = this._directory.alive.map(({ from }) => from)
-    this._mesh.sendStatus({ status, peers, peersVersion: peers.map(({ incarnation }) => incarnation).join() })
-  }
-
-  /** What peers must learn at once. */
-  private _digestStatus (): string {
-    return [this.isReady, this._isDraining, this._routes.version, ...this._ownedPartitions.flat()].join()
-  }
-
-  private get _ownedPartitions (): NodeStatus['owned'] {
-    return this._host.served.map(owner => [owner.partition, owner.epoch])
   }
 
   private _takeStatus (status: NodeStatus): void {
