--- a/packages/node/src/node/routed/nodeDirectory.ts
+++ b/packages/node/src/node/routed/nodeDirectory.ts
@@ -1,8 +1,7 @@
 /** The nodes of the system as this one sees them: who is alive, who is ready, who owns which partition. */
 import type { NodeAddress, NodeStatus } from '../../common/routed/peerMessages.js'
+import { silenceLimitMs } from './statusPeriod.js'
 
-/** A peer without a status for this many of its status periods gets no callers. */
-const FRESH_PERIODS = 4.5
 /** A peer that was never heard for this long is dropped from the directory. */
 const FORGET_MS = 60_000
 /** Callers use at most this many addresses of one answer. */
@@ -68,7 +67,7 @@
     const nowMs = this._options.nowMs()
     const statuses: NodeStatus[] = []
     for (const { status, heardAtMs, isLost } of this._nodes.values()) {
-      if (status !== undefined && !isLost && nowMs - heardAtMs <= FRESH_PERIODS * status.periodMs) statuses.push(status)
+      if (status !== undefined && !isLost && nowMs - heardAtMs <= silenceLimitMs(status.periodMs)) statuses.push(status)
     }
     return statuses
   }
--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -3,12 +3,11 @@
 import { Packr } from 'msgpackr'
 import type { NodeAddress, NodeStatus, PeerReply, PeerRequest } from '../../common/routed/peerMessages.js'
 import { steadyNowMs } from '../steadyClock.js'
+import { silenceLimitMs } from './statusPeriod.js'
 
 const LENGTH_BYTES = 4
 /** Larger than any chain of turns that a node hands on. */
 const MAX_FRAME_BYTES = 64 * 1024 * 1024
-/** A connection without a frame for this many status periods is taken as dead: four answers may be late. */
-const SILENT_PERIODS = 4.5
 /** A changed list of peers goes over a connection at most this often: while a system starts, the list changes all the time. */
 const PEERS_PERIOD_MS = 5_000
 /** Pause between two tries to reach a peer. */
@@ -135,7 +134,7 @@
     const frame = this._encode({ t: 's', s: status })
     let frameWithPeers: Buffer | undefined
     for (const dialed of this._dialed.values()) {
-      if (dialed.isConnected && nowMs - dialed.lastHeardMs > SILENT_PERIODS * status.periodMs) this._drop(dialed, 'silent')
+      if (dialed.isConnected && nowMs - dialed.lastHeardMs > silenceLimitMs(status.periodMs)) this._drop(dialed, 'silent')
       if (!dialed.isConnected) continue
       const { toldPeers } = dialed
       if (toldPeers !== undefined && (toldPeers.version === peersVersion || nowMs - toldPeers.atMs < this._peersPeriodMs)) {
--- a/packages/node/src/node/routed/statusBroadcast.ts
+++ b/packages/node/src/node/routed/statusBroadcast.ts
@@ -3,11 +3,7 @@
 import { steadyNowMs } from '../steadyClock.js'
 import type { NodeDirectory } from './nodeDirectory.js'
 import type { PeerMesh } from './peerMesh.js'
-
-/** How often a node looks whether its status has changed in what matters to callers. */
-const CHECK_MS = 200
-/** Time between two statuses for each peer: a node of a large system spends no more on them than one among twenty. */
-const MS_PER_PEER = 10
+import { statusPeriodMs, STATUS_CHECK_MS } from './statusPeriod.js'
 
 export interface StatusBroadcastOptions {
   mesh: PeerMesh
@@ -30,7 +26,7 @@
   constructor (private readonly _options: StatusBroadcastOptions) {}
 
   start (): void {
-    this._timer = setInterval(() => this._keep(), CHECK_MS)
+    this._timer = setInterval(() => this._keep(), STATUS_CHECK_MS)
   }
 
   stop (): void {
@@ -48,15 +44,14 @@
     this._sentDigest = digestOf(status)
   }
 
-  /** Time between two statuses while nothing changes. */
   private get _periodMs (): number {
-    return Math.max(CHECK_MS, MS_PER_PEER * this._options.directory.size)
+    return statusPeriodMs(this._options.directory.size)
   }
 
   private _keep (): void {
     this._options.mesh.redial()
     // A timer fires a little early or late: half a check decides which one is nearest.
-    const isDue = steadyNowMs() - this._sentAtMs > this._periodMs - CHECK_MS / 2
+    const isDue = steadyNowMs() - this._sentAtMs > this._periodMs - STATUS_CHECK_MS / 2
     if (isDue || digestOf(this._options.compose()) !== this._sentDigest) this.send()
   }
 }
