--- a/packages/node/test/node/routed/peerMesh.test.ts
+++ b/packages/node/test/node/routed/peerMesh.test.ts
@@ -1,15 +1,13 @@
-import { createServer, type AddressInfo } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { NodeAddress, NodeStatus } from '../../../src/common/routed/peerMessages.js'
 import { PeerMesh } from '../../../src/node/routed/peerMesh.js'
 
-async function findFreeAddress (): Promise<string> {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as AddressInfo
-  await new Promise<void>(resolve => { server.close(() => resolve()) })
-  return `127.0.0.1:${port}`
+/** Below the range from which connections get their own ports. */
+let nextPort = 19_000 + process.pid % 500
+
+function nextAddress (): string {
+  return `127.0.0.1:${nextPort++}`
 }
 
 async function waitUntil (isDone: () => boolean): Promise<void> {
@@ -22,8 +20,8 @@
   return new PeerMesh({ self, peersPeriodMs: PEERS_PERIOD_MS, onStatus, onRequest: () => {}, onConnected: () => {}, onLost })
 }
 
-async function createAddress (node: string): Promise<NodeAddress> {
-  return { node, incarnation: '1', zone: 'a', peerAddress: await findFreeAddress(), callerAddress: '' }
+function createAddress (node: string): NodeAddress {
+  return { node, incarnation: '1', zone: 'a', peerAddress: nextAddress(), callerAddress: '' }
 }
 
 function createStatus (from: NodeAddress): NodeStatus {
@@ -31,7 +29,7 @@
 }
 
 test('the list of peers goes over a connection at first, and after changes in intervals', async () => {
-  const [near, far] = [await createAddress('near'), await createAddress('far')]
+  const [near, far] = [createAddress('near'), createAddress('far')]
   const statuses: NodeStatus[] = []
   const [sender, receiver] = [createMesh(near), createMesh(far, status => statuses.push(status))]
   await receiver.listen()
@@ -48,7 +46,7 @@
 })
 
 test('the end of a peer is told as soon as its connection closes', async () => {
-  const [near, far] = [await createAddress('near'), await createAddress('far')]
+  const [near, far] = [createAddress('near'), createAddress('far')]
   const lost: string[] = []
   const [sender, receiver] = [createMesh(near, undefined, peer => lost.push(peer)), createMesh(far)]
   await receiver.listen()
