Routed calls: log what tells a refusal by an outdated view from one by a full fleet

A refusal by a worker could not be told from the logs of its node: belief of the load, its age and whether the worker had run the session before were missing. workerChosen now has them, and worker_refusals_total counts refusals by the belief behind them. No decision changes.

--- a/packages/node/src/node/routed/nodeDirectory.ts
+++ b/packages/node/src/node/routed/nodeDirectory.ts
@@ -75,6 +75,16 @@
     return statuses
   }
 
+  /** Mean time since the latest status of each live peer; 0 without any. */
+  get meanStatusAgeMs (): number {
+    const nowMs = this._options.nowMs()
+    const ages: number[] = []
+    for (const { status, lastStatusAtMs, isDisconnected } of this._nodes.values()) {
+      if (status !== undefined && !isDisconnected) ages.push(nowMs - lastStatusAtMs)
+    }
+    return ages.length === 0 ? 0 : ages.reduce((total, ageMs) => total + ageMs, 0) / ages.length
+  }
+
   /** The live peer that serves a partition under the highest epoch; undefined if none does. */
   ownerOf (partition: number): string | undefined {
     let owner: string | undefined
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -32,6 +32,8 @@
   private _grant: GrantedTurn | undefined
   private _latestAttempt: WorkerAttempt | undefined
   private _isDone = false
+  /** Requests in flight at the worker of the latest attempt, as this node knew them when it chose the worker. */
+  private _believedInFlight = 0
   private _sentCount = 0
   private _unsentCount = 0
   private _mayHaveRun = false
@@ -124,12 +126,16 @@
       this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'no worker is available', RefusalReason.NoWorker)
       return
     }
+    this._believedInFlight = this._dependencies.statistics.inFlightOf(worker.workerId)
     this._log('workerChosen', {
       worker: worker.workerId,
       zone: worker.zone,
       attempt: this._sentCount + this._unsentCount + 1,
-      inFlight: this._dependencies.statistics.inFlightOf(worker.workerId),
+      inFlight: this._believedInFlight,
       slots: worker.slots,
+      loadAgeMs: Math.round(this._dependencies.loadAgeMs()),
+      isFirstTurn: this._needsGrant ? !this._hasBegun : undefined,
+      isSessionCached: this._needsGrant ? this._grant?.cached.some(part => part.worker === worker.workerId) : undefined,
       excluded: this._excluded.size,
       timeLeftMs: Math.round(this._timeLeftMs)
     })
@@ -193,8 +199,12 @@
 
   /** From 0, served first, to 9: by the priority of the route, then programs in progress before new ones. */
   private get _urgency (): number {
-    const hasBegun = this._request.program?.previousTurnId !== undefined || (this._grant?.cached.length ?? 0) > 0
-    return Math.min(9, this._route.priority * 2 + (hasBegun ? 0 : 1))
+    return Math.min(9, this._route.priority * 2 + (this._hasBegun ? 0 : 1))
+  }
+
+  /** True for a turn of a program that has completed one. */
+  private get _hasBegun (): boolean {
+    return this._request.program?.previousTurnId !== undefined || (this._grant?.cached.length ?? 0) > 0
   }
 
   private _onAttemptEnd (): void {
@@ -243,6 +253,9 @@
     if (worker !== undefined) this._excluded.add(worker.workerId)
     if (worker !== undefined && attemptOutcome === AttemptOutcome.Unknown) void this._dependencies.poisonRequestDetector.handleBrokenRequest(this._request, worker)
     this._dependencies.metrics.count('attempts_failed_total', { fate: attemptOutcome })
+    if (attemptOutcome === AttemptOutcome.Refused && worker !== undefined) {
+      this._dependencies.metrics.count('worker_refusals_total', { belief: this._believedInFlight < worker.slots ? 'free' : 'full' })
+    }
     const reason = attemptOutcome === AttemptOutcome.Refused ? RefusalReason.WorkerRefused : RefusalReason.OutcomeUnknown
     // Events held back until the reservation is recorded are forwarded first: the next attempt resumes after the last forwarded event.
     this._relay.whenForwarding(() => {
--- a/packages/node/src/node/routed/routedCallDependencies.ts
+++ b/packages/node/src/node/routed/routedCallDependencies.ts
@@ -20,6 +20,8 @@
   metrics: Metrics
   /** Number of live nodes, among which the connections to a worker are divided. */
   nodeCount: () => number
+  /** Mean age of the peers' load reports. */
+  loadAgeMs: () => number
   /** False if the active document may be out of date. */
   isDocumentFresh: () => boolean
   write: (event: string, fields: LogFields) => void
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -167,6 +167,7 @@
       poisonRequestDetector: this._poisonRequestDetector,
       metrics: this.metrics,
       nodeCount: () => this._directory.alive.length + 1,
+      loadAgeMs: () => this._directory.meanStatusAgeMs,
       isDocumentFresh: () => this._clusterView.isDocumentFresh,
       write
     }
@@ -261,6 +262,7 @@
       open_requests: this._openRequestCount,
       document_version: this._routes.version,
       live_nodes: this._directory.alive.length + 1,
+      load_report_age_ms: this._directory.meanStatusAgeMs,
       partitions_served: served.length,
       turns_held: served.reduce((total, owner) => total + owner.turnCount, 0),
       turn_bytes_held: served.reduce((total, owner) => total + owner.turnBytes, 0),
