Worker answers: bytes without end are bounded by size and time everywhere they are read

A worker in trouble may send bytes that are no answer without end. Some of these calls never closed: after a refusal, an answer of another worker or a complete answer, the rest was read and dropped for ever on a connection that held a slot. Reason phrases, blank lines, heads of status 1xx and chunk extensions were unlimited too, an event grew until the deadline, and whatever a slow caller or a slow log held up was buffered whole.

Cause: only header blocks had a limit (undici's), and only open calls had a deadline; nothing connected the reading from a worker to the writing to a caller.

Reading stops while the caller does not read or more than 256 KiB wait for the log. A violation closes the connection and counts as a failure of the worker, also one outside a call (workerMisbehaved) and an answer that has begun and does not end in its time.

--- a/packages/node/src/common/routed/eventFrames.ts
+++ b/packages/node/src/common/routed/eventFrames.ts
@@ -1,6 +1,8 @@
 /** Splits the bytes of an event stream into complete events. */
 
 const LINE_FEED = 10
+/** Longest end of an event that may have arrived in part: a line feed, a carriage return and a line feed. */
+const MAX_FRAME_END_BYTES = 3
 
 /** One event with its original bytes. */
 export interface EventFrame {
@@ -19,6 +21,8 @@
  */
 export class EventFrameSplitter {
   private _pending: Buffer = Buffer.alloc(0)
+  /** Bytes of `_pending` in which no event ends. */
+  private _searchedBytes = 0
 
   /** Bytes after the last complete event. */
   get rest (): Buffer {
@@ -30,11 +34,12 @@
     this._pending = this._pending.length === 0 ? Buffer.from(bytes) : Buffer.concat([this._pending, bytes])
     const frames: EventFrame[] = []
     let start = 0
-    for (let end = findFrameEnd(this._pending, start); end >= 0; end = findFrameEnd(this._pending, start)) {
+    for (let end = findFrameEnd(this._pending, this._searchedBytes); end >= 0; end = findFrameEnd(this._pending, start)) {
       frames.push(parseFrame(this._pending.subarray(start, end)))
       start = end
     }
     this._pending = this._pending.subarray(start)
+    this._searchedBytes = Math.max(0, this._pending.length - MAX_FRAME_END_BYTES + 1)
     return frames
   }
 }
--- a/packages/node/src/common/routed/routedRequest.ts
+++ b/packages/node/src/common/routed/routedRequest.ts
@@ -76,8 +76,11 @@
 export interface IAnswerSink {
   /** Called once if the caller disconnects before the answer has ended. */
   onCallerDisconnected: () => void
+  /** Called when the caller has received what was written since `write` returned false. */
+  onDrained: () => void
   begin (head: AnswerHead): void
-  write (bytes: Uint8Array): void
+  /** Returns false if the caller reads more slowly than was written; the bytes are buffered. */
+  write (bytes: Uint8Array): boolean
   end (): void
   /** Answers with a status and reason from this node instead of a worker's answer. */
   refuse (refusal: Refusal): void
--- a/packages/node/src/common/routed/workerClient.ts
+++ b/packages/node/src/common/routed/workerClient.ts
@@ -50,9 +50,14 @@
 export interface IOpenWorkerCall {
   /** Aborts the call; no method of the listener is called afterwards. */
   abort (): void
+  /** Stops reading the answer, apart from a limited amount that is already on its way, until `resume`. */
+  pause (): void
+  resume (): void
 }
 
 export interface IWorkerClient {
+  /** Called when a worker sends too many bytes that no call waits for, and the connection is closed. */
+  onMisbehaved: (workerId: string, detail: string) => void
   /** Starts a call. The listener gets either `onEnd` or `onFailed`, once, unless the call is aborted. */
   call (call: WorkerCall, listener: IWorkerCallListener): IOpenWorkerCall
   /** True when a call to the address needs no new connection. */
--- a/packages/node/src/node/routed/answerRelay.ts
+++ b/packages/node/src/node/routed/answerRelay.ts
@@ -6,11 +6,26 @@
 
 /** Bodies up to this size are forwarded when they are complete, larger ones while they arrive. */
 const MAX_BUFFERED_BYTES = 512 * 1024
+/** While more than this is held back, no more is read from the worker. */
+const MAX_HELD_BYTES = 256 * 1024
+/** A stream whose next event is not complete after this many bytes has failed. */
+const MAX_EVENT_BYTES = 1024 * 1024
+/** Largest output of a turn that can be retained. */
+const MAX_OUTPUT_BYTES = 8 * 1024 * 1024
 const FIRST_REDIRECT_STATUS = 300
 
+export interface AnswerRelayOptions {
+  /** Id of the event after which the caller resumes a stream. */
+  lastEventId?: string
+  /** True if `output` is needed. */
+  retainsOutput?: boolean
+  /** Called with true when no more should be read from the worker, because what was read can't be forwarded yet, and with false when reading may continue. */
+  onBackpressure?: (isPaused: boolean) => void
+}
+
 /**
  * The answer to one request, which may come from several attempts: after a failed one, the next resumes the stream. While
- * forwarding is paused, streams and buffered bodies are held back in order; bodies larger than the buffer are not.
+ * forwarding is paused, streams and bodies are held back in order.
  *
  * @example
  * relay.beginAttempt()
@@ -21,6 +36,11 @@
 export class AnswerRelay {
   private readonly _deferredActions: Array<() => void> = []
   private readonly _forwardedData: string[] = []
+  private _outputBytes = 0
+  private _heldBytes = 0
+  private _isSinkFull = false
+  private _isBackpressured = false
+  private _lastEventId: string | undefined
   private _isForwarding = true
   private _isStopped = false
   private _hasBegun = false
@@ -32,7 +52,13 @@
   private _firstByteAtMs: number | undefined
   private _eventCount = 0
 
-  constructor (private readonly _sink: IAnswerSink, private _lastEventId: string | undefined) {}
+  constructor (private readonly _sink: IAnswerSink, private readonly _options: AnswerRelayOptions = {}) {
+    this._lastEventId = _options.lastEventId
+    _sink.onDrained = () => {
+      this._isSinkFull = false
+      this._updateBackpressure()
+    }
+  }
 
   /** True once the head of the answer was forwarded to the caller. */
   get hasBegun (): boolean {
@@ -69,7 +95,12 @@
     return this._firstByteAtMs
   }
 
-  /** The data of each forwarded event, each followed by a line feed. */
+  /** True while the worker's answer is not read because it can't be forwarded yet. */
+  get isBackpressured (): boolean {
+    return this._isBackpressured
+  }
+
+  /** The data of each forwarded event, each followed by a line feed; empty without `retainsOutput`. */
   get output (): Buffer {
     return Buffer.from(this._forwardedData.map(data => `${data}\n`).join(''), 'latin1')
   }
@@ -83,6 +114,8 @@
   resumeForwarding (): void {
     this._isForwarding = true
     for (const action of this._deferredActions.splice(0)) action()
+    this._heldBytes = 0
+    this._updateBackpressure()
   }
 
   /** Runs `action` at once, or while forwarding is paused, after everything that was held back before it; never after `stop`. */
@@ -107,14 +140,12 @@
     if (this._isStream) this.whenForwarding(() => this._begin(head))
   }
 
-  handleData (bytes: Uint8Array): void {
-    if (this._isStream) {
-      for (const frame of this._splitter.push(bytes)) this.whenForwarding(() => this._forwardEvent(frame))
-      return
-    }
-    this._buffered.push(bytes)
-    this._bufferedBytes += bytes.length
-    if (this._bufferedBytes > MAX_BUFFERED_BYTES) this._forwardBuffered()
+  /** Returns why the answer can't be accepted any further, and undefined while it can. */
+  handleData (bytes: Uint8Array): string | undefined {
+    if (!this._isForwarding) this._heldBytes += bytes.length
+    const problem = this._isStream ? this._handleStreamData(bytes) : this._handleBodyData(bytes)
+    this._updateBackpressure()
+    return problem
   }
 
   /** The attempt's answer is complete: forwards the rest of it, then calls `onForwarded`, unless the relay was stopped. */
@@ -122,7 +153,7 @@
     this.whenForwarding(() => {
       if (this._isStopped) return
       if (!this._isStream) this._forwardBuffered()
-      else if (this._splitter.rest.length > 0) this._sink.write(this._splitter.rest)
+      else if (this._splitter.rest.length > 0) this._write(this._splitter.rest)
       onForwarded()
     })
   }
@@ -139,18 +170,44 @@
     this._sink.begin(head)
   }
 
+  private _handleStreamData (bytes: Uint8Array): string | undefined {
+    for (const frame of this._splitter.push(bytes)) {
+      if (this._options.retainsOutput === true) this._outputBytes += frame.data?.length ?? 0
+      this.whenForwarding(() => this._forwardEvent(frame))
+    }
+    if (this._outputBytes > MAX_OUTPUT_BYTES) return 'the output is too large to be retained'
+    return this._splitter.rest.length > MAX_EVENT_BYTES ? 'an event without end' : undefined
+  }
+
+  private _handleBodyData (bytes: Uint8Array): undefined {
+    this._buffered.push(bytes)
+    this._bufferedBytes += bytes.length
+    if (this._bufferedBytes > MAX_BUFFERED_BYTES && this._isForwarding) this._forwardBuffered()
+  }
+
   private _forwardEvent (frame: EventFrame): void {
     if (this._isStopped) return
-    this._sink.write(frame.bytes)
+    this._write(frame.bytes)
     if (frame.data === undefined) return
     this._eventCount++
-    this._forwardedData.push(frame.data)
+    if (this._options.retainsOutput === true) this._forwardedData.push(frame.data)
     if (frame.id !== undefined) this._lastEventId = frame.id
   }
 
   private _forwardBuffered (): void {
     if (this._head === undefined) return
     this._begin(this._head)
-    for (const bytes of this._buffered.splice(0)) this._sink.write(bytes)
+    for (const bytes of this._buffered.splice(0)) this._write(bytes)
+  }
+
+  private _write (bytes: Uint8Array): void {
+    if (!this._sink.write(bytes)) this._isSinkFull = true
+  }
+
+  private _updateBackpressure (): void {
+    const isBackpressured = this._isSinkFull || (!this._isForwarding && this._heldBytes > MAX_HELD_BYTES)
+    if (isBackpressured === this._isBackpressured) return
+    this._isBackpressured = isBackpressured
+    this._options.onBackpressure?.(isBackpressured)
   }
 }
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -46,7 +46,11 @@
   ) {
     const maxWaitMs = Math.min(_request.deadlineMs ?? Number.POSITIVE_INFINITY, _route.timeoutMs)
     this._expiresAtMs = _request.arrivedAtMs + maxWaitMs
-    this._relay = new AnswerRelay(_sink, _request.lastEventId)
+    this._relay = new AnswerRelay(_sink, {
+      lastEventId: _request.lastEventId,
+      retainsOutput: _route.retainsTurns,
+      onBackpressure: isPaused => this._latestAttempt?.setPaused(isPaused)
+    })
   }
 
   start (): void {
@@ -186,11 +190,15 @@
       },
       listener: {
         onHead: head => this._relay.handleHead(head),
-        onData: bytes => this._relay.handleData(bytes),
+        onData: bytes => {
+          const problem = this._relay.handleData(bytes)
+          if (problem !== undefined) this._latestAttempt?.fail(problem)
+        },
         onEnd: () => this._onAttemptEnd(),
         onFailed: (attemptOutcome, detail) => this._onAttemptFailed(attemptOutcome, detail)
       }
     })
+    if (this._relay.isBackpressured) this._latestAttempt.setPaused(true)
   }
 
   private get _isAttemptOpen (): boolean {
@@ -284,7 +292,8 @@
   private _expire (): void {
     if (this._isDone) return
     const mayHaveRun = this._mayHaveRun || this._isAttemptOpen || this._relay.hasHead
-    this._latestAttempt?.cancel()
+    if (this._relay.hasHead && !this._relay.isBackpressured) this._latestAttempt?.cancelUnfinished()
+    else this._latestAttempt?.cancel()
     this._reportTurnEnd(this._usedTokens)
     if (this._relay.hasBegun) this._abort('timed out')
     else if (mayHaveRun) this._refuse({ status: 504, reason: RefusalReason.TimedOut })
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -150,6 +150,10 @@
       sinceMembershipConfirmedMs: () => this._partitionHost.sinceLastJoinMs,
       write: (level, event, fields) => this._write(level, event, fields)
     })
+    _options.workers.onMisbehaved = (worker, detail) => {
+      this._statistics.recordFailure(worker, steadyNowMs())
+      this._write('warn', 'workerMisbehaved', { worker, detail })
+    }
     this._registry.onDidLoseWorker(({ workerId, address }) => {
       this._statistics.removeWorker(workerId)
       _options.workers.closeConnections(address)
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -70,6 +70,25 @@
     this._end()
   }
 
+  /** Cancels an open call whose answer has begun and has not ended within the worker's time, which counts against the worker. */
+  cancelUnfinished (): void {
+    if (this.isOpen) this._recordFailure(ANSWERED_SEVERITY)
+    this.cancel()
+  }
+
+  /** Ends an open call as broken, because its answer can't be accepted any further. */
+  fail (detail: string): void {
+    if (this._openCall === undefined) return
+    this._openCall.abort()
+    this._fail({ type: 'broken', detail })
+  }
+
+  /** While true, no more of the answer is read. */
+  setPaused (isPaused: boolean): void {
+    if (isPaused) this._openCall?.pause()
+    else this._openCall?.resume()
+  }
+
   /** Records a complete answer in the statistics. `events` is the number of events of a stream, 1 for other answers. */
   recordAnswer (status: number, events: number): void {
     const { durations } = this._options.dependencies
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -18,8 +18,10 @@
   'msgpackr-extract': 'module.exports = undefined',
   // The daemon uses the client of undici with HTTP/1.1 only.
   'node:http2': 'module.exports = { constants: {} }',
-  // Of undici, the daemon uses only the connection pool and its `request` method.
+  // Of undici, the daemon uses only the connection pool with its clients, and the `request` method.
   undici: `exports.Pool = require('undici/lib/dispatcher/pool.js')
+    exports.Client = require('undici/lib/dispatcher/client.js')
+    exports.buildConnector = require('undici/lib/core/connect.js')
     require('undici/lib/dispatcher/dispatcher.js').prototype.request = require('undici/lib/api/api-request.js')`
 }
 
