Engine and service calls of the own interface: the same bounds on bytes without end

What callers saw: nothing yet; the same class of fault as in the calls of routed requests. A body without end was collected as text until the call's timeout (4 to 7 GB sent in 20 s), and a stream that went on after its last event was never closed, because the end of the call had stopped its timer.

Change: engines and services are called through the bounded connections. Closing a connection for a limit is not a crash of the back end, which would count against the request.

--- a/packages/node/src/node/backendClient.ts
+++ b/packages/node/src/node/backendClient.ts
@@ -1,13 +1,14 @@
 /** HTTP client for model engines and tool services. */
-import { Agent, Client, type Dispatcher, request } from 'undici'
+import { Agent } from 'undici'
 import type { BackendEvent, BackendRequest, EngineRequest, ServiceRequest } from '@trefoilshunt/core'
 import { cacheEventsSchema, ENGINE_PATHS, engineChunkSchema, engineStatusSchema, EventStreamReader, IDEMPOTENCY_HEADER, LEAVING_HEADER, NOT_RUN_HEADER, SERVICE_LOOKUP_PATH, toEngineBody } from '@trefoilshunt/protocol'
+import { type BackendAnswer, fetchAnswer } from './backendAnswer.js'
+import { BoundedClient, createBoundedPool, LimitExceededError } from './boundedClient.js'
 import { classifyError } from './httpErrors.js'
 
 const CONNECTIONS_PER_WORKER = 64
 const CONNECT_TIMEOUT_MS = 1_500
 const KEEP_ALIVE_MS = 4_000
-const JSON_HEADERS = { 'content-type': 'application/json' }
 /** Estimates the tokens of a chunk for which the engine sends no count. */
 const CHARACTERS_PER_TOKEN = 4
 
@@ -22,7 +23,9 @@
 
 /** Sends the core's requests to backend servers and reports the answers as `BackendEvent`s. */
 export class BackendClient {
-  private readonly _agent = new Agent({ connections: CONNECTIONS_PER_WORKER, connect: { timeout: CONNECT_TIMEOUT_MS }, keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: 0, bodyTimeout: 0 })
+  private readonly _agent = new Agent({
+    factory: origin => createBoundedPool(origin, { connections: CONNECTIONS_PER_WORKER, connectTimeoutMs: CONNECT_TIMEOUT_MS, keepAliveTimeoutMs: KEEP_ALIVE_MS })
+  })
 
   /**
    * Starts a call to `address` (host:port). The listener gets any number of `chunk` events and one final event, which is `failed`
@@ -72,18 +75,18 @@
   }
 
   private async _runModel (baseUrl: string, engineRequest: EngineRequest, signal: AbortSignal, emit: Listener): Promise<void> {
-    const response = await request(`${baseUrl}${ENGINE_PATHS.completions}`, {
-      method: 'POST', headers: JSON_HEADERS, body: JSON.stringify(toEngineBody(engineRequest)), signal, dispatcher: this._agent
-    })
-    if (response.statusCode !== 200) {
-      await response.body.dump()
-      emit(toRefusal(response))
-      return
-    }
     const stream = new CompletionStream(emit)
-    const decoder = new TextDecoder()
-    for await (const bytes of response.body) stream.push(decoder.decode(bytes as Uint8Array, { stream: true }))
-    stream.end()
+    const answer = await fetchAnswer(this._agent, {
+      origin: baseUrl,
+      method: 'POST',
+      path: ENGINE_PATHS.completions,
+      body: JSON.stringify(toEngineBody(engineRequest)),
+      signal,
+      onText: text => { stream.push(text) },
+      isComplete: () => stream.isDone
+    })
+    if (answer.status !== 200) emit(toRefusal(answer))
+    else stream.end()
   }
 
   /**
@@ -91,16 +94,12 @@
    * not determine whether the service received it.
    */
   private async _runService (baseUrl: string, serviceRequest: ServiceRequest, signal: AbortSignal, emit: Listener): Promise<void> {
-    const client = new Client(baseUrl, { connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
+    const client = new BoundedClient(baseUrl, { connectTimeoutMs: CONNECT_TIMEOUT_MS, keepAliveTimeoutMs: KEEP_ALIVE_MS })
     try {
-      const headers = serviceRequest.idempotencyKey === undefined ? JSON_HEADERS : { ...JSON_HEADERS, [IDEMPOTENCY_HEADER]: serviceRequest.idempotencyKey }
-      const response = await client.request({ path: serviceRequest.path, method: 'POST', headers, body: JSON.stringify(serviceRequest.body ?? null), signal })
-      if (response.headers[NOT_RUN_HEADER] === 'true') {
-        await response.body.dump()
-        emit(toRefusal(response))
-        return
-      }
-      emit({ type: 'serviceDone', result: { type: 'service', status: response.statusCode, body: parseBody(await response.body.text()) } })
+      const headers = serviceRequest.idempotencyKey === undefined ? undefined : { [IDEMPOTENCY_HEADER]: serviceRequest.idempotencyKey }
+      const answer = await fetchAnswer(client, { origin: baseUrl, method: 'POST', path: serviceRequest.path, headers, body: JSON.stringify(serviceRequest.body ?? null), signal })
+      if (answer.headers[NOT_RUN_HEADER] === 'true') emit(toRefusal(answer))
+      else emit({ type: 'serviceDone', result: { type: 'service', status: answer.status, body: parseBody(answer.text) } })
     } finally {
       void client.destroy()
     }
@@ -108,32 +107,31 @@
 
   /** Queries the result of an earlier call by its idempotency key; every answer without a result is reported as a failure. */
   private async _lookup (baseUrl: string, idempotencyKey: string, signal: AbortSignal, emit: Listener): Promise<void> {
-    const response = await request(`${baseUrl}${SERVICE_LOOKUP_PATH}${encodeURIComponent(idempotencyKey)}`, { signal, dispatcher: this._agent })
-    const answer = parseBody(await response.body.text()) as { status?: number, body?: unknown } | null
-    if (response.statusCode === 200 && typeof answer?.status === 'number') emit({ type: 'serviceDone', result: { type: 'service', status: answer.status, body: answer.body } })
+    const { status, text } = await fetchAnswer(this._agent, { origin: baseUrl, method: 'GET', path: `${SERVICE_LOOKUP_PATH}${encodeURIComponent(idempotencyKey)}`, signal })
+    const result = parseBody(text) as { status?: number, body?: unknown } | null
+    if (status === 200 && typeof result?.status === 'number') emit({ type: 'serviceDone', result: { type: 'service', status: result.status, body: result.body } })
     else emit(toFailure({ isUntouched: true, detail: 'the service has no result for this idempotency key' }))
   }
 
   private async _readStatus (baseUrl: string, signal: AbortSignal, emit: Listener): Promise<void> {
-    const response = await request(`${baseUrl}${ENGINE_PATHS.status}`, { signal, dispatcher: this._agent })
-    const status = engineStatusSchema.safeParse(parseBody(await response.body.text()))
-    const isLeaving = response.headers[LEAVING_HEADER] === 'true'
+    const answer = await fetchAnswer(this._agent, { origin: baseUrl, method: 'GET', path: ENGINE_PATHS.status, signal })
+    const status = engineStatusSchema.safeParse(parseBody(answer.text))
+    const isLeaving = answer.headers[LEAVING_HEADER] === 'true'
     if (status.success && !isLeaving) emit({ type: 'status', status: status.data })
     else emit(toFailure({ isUntouched: true, isLeaving, detail: 'no valid status report' }))
   }
 
   private async _readCacheEvents (baseUrl: string, fromSequence: number, signal: AbortSignal, emit: Listener): Promise<void> {
-    const response = await request(`${baseUrl}${ENGINE_PATHS.events}?from=${fromSequence}`, { signal, dispatcher: this._agent })
-    const answer = cacheEventsSchema.safeParse(parseBody(await response.body.text()))
-    if (answer.success) emit({ type: 'cacheEvents', events: answer.data.events })
+    const { text } = await fetchAnswer(this._agent, { origin: baseUrl, method: 'GET', path: `${ENGINE_PATHS.events}?from=${fromSequence}`, signal })
+    const events = cacheEventsSchema.safeParse(parseBody(text))
+    if (events.success) emit({ type: 'cacheEvents', events: events.data.events })
     else emit(toFailure({ isUntouched: true, detail: 'no valid list of cache events' }))
   }
 
   private async _post (baseUrl: string, path: string, body: unknown, signal: AbortSignal, emit: Listener): Promise<void> {
-    const response = await request(`${baseUrl}${path}`, { method: 'POST', headers: JSON_HEADERS, body: JSON.stringify(body), signal, dispatcher: this._agent })
-    await response.body.dump()
-    if (response.statusCode < 300) emit({ type: 'ok' })
-    else emit(toRefusal(response))
+    const answer = await fetchAnswer(this._agent, { origin: baseUrl, method: 'POST', path, body: JSON.stringify(body), signal })
+    if (answer.status < 300) emit({ type: 'ok' })
+    else emit(toRefusal(answer))
   }
 }
 
@@ -147,8 +145,16 @@
 
   constructor (private readonly _emit: Listener) {}
 
+  /** True after the `[DONE]` event; later events are ignored. */
+  get isDone (): boolean {
+    return this._isDone
+  }
+
   push (text: string): void {
-    for (const event of this._reader.push(text)) this._handleData(event.data)
+    for (const event of this._reader.push(text)) {
+      if (!this._isDone) this._handleData(event.data)
+    }
+    if (this._reader.isOverlong) throw new LimitExceededError('an event without end')
   }
 
   /** Handles the end of the connection; without a preceding `[DONE]` event the answer is incomplete and the call has failed. */
@@ -178,9 +184,9 @@
 }
 
 /** The failure for an error status; the headers show whether the request was run and whether the back end is leaving. */
-function toRefusal (response: Dispatcher.ResponseData): Failure {
-  const isNotRun = response.headers[NOT_RUN_HEADER] === 'true'
-  return toFailure({ isUntouched: isNotRun, isLeaving: response.headers[LEAVING_HEADER] === 'true', detail: `status ${response.statusCode}` })
+function toRefusal ({ status, headers }: BackendAnswer): Failure {
+  const isNotRun = headers[NOT_RUN_HEADER] === 'true'
+  return toFailure({ isUntouched: isNotRun, isLeaving: headers[LEAVING_HEADER] === 'true', detail: `status ${status}` })
 }
 
 function toFailure (fields: Partial<Omit<Failure, 'type'>>): Failure {
--- a/packages/node/src/node/httpErrors.ts
+++ b/packages/node/src/node/httpErrors.ts
@@ -2,13 +2,14 @@
 
 /** Codes of errors that occur before any byte of the request is written. */
 const UNSENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH', 'EAI_AGAIN', 'EADDRNOTAVAIL'])
-const TIMEOUT_CODES = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT', 'UND_ERR_ABORTED'])
+/** Codes of errors with which this node closed the connection itself. */
+const CLOSED_HERE_CODES = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT', 'UND_ERR_ABORTED', 'LIMIT_EXCEEDED', 'UND_ERR_HEADERS_OVERFLOW'])
 
 /** What an error shows about the request. */
 export interface ErrorClassification {
   /** True only if no byte of the request can have reached the server. */
   isUntouched: boolean
-  /** True if the connection broke after it was established; every unknown error except a timeout or an abort counts as this. */
+  /** True if the connection broke after it was established; every unknown error counts as this, but not one with which this node closed the connection. */
   isConnectionLost: boolean
   detail: string
 }
@@ -18,8 +19,8 @@
   const { code, message, name } = error as { code?: string, message?: string, name?: string }
   const codes = [code, ...nestedErrorCodes(error)].filter(value => value !== undefined)
   const isUntouched = codes.some(value => UNSENT_CODES.has(value))
-  const isTimeout = name === 'TimeoutError' || name === 'AbortError' || codes.some(value => TIMEOUT_CODES.has(value))
-  return { isUntouched, isConnectionLost: !isUntouched && !isTimeout, detail: `${codes.at(0) ?? name ?? 'error'}: ${message ?? ''}` }
+  const isClosedHere = name === 'TimeoutError' || name === 'AbortError' || codes.some(value => CLOSED_HERE_CODES.has(value))
+  return { isUntouched, isConnectionLost: !isUntouched && !isClosedHere, detail: `${codes.at(0) ?? name ?? 'error'}: ${message ?? ''}` }
 }
 
 /** The codes of the errors in an `AggregateError` and of the cause. */
--- a/packages/protocol/src/common/serverSentEvents.ts
+++ b/packages/protocol/src/common/serverSentEvents.ts
@@ -7,7 +7,7 @@
   data: string
 }
 
-/** An incomplete line longer than this is discarded, which limits the memory that a server can take. */
+/** An incomplete event longer than this is discarded, which limits the memory that a server can take. */
 const MAX_PENDING_CHARACTERS = 4_000_000
 
 /**
@@ -22,14 +22,21 @@
   private _pending = ''
   private _eventName = ''
   private _dataLines: string[] = []
+  private _dataCharacters = 0
+  private _isOverlong = false
+
+  /** True once an event was discarded because it was too long. */
+  get isOverlong (): boolean {
+    return this._isOverlong
+  }
 
   /** Adds the next part of the stream and returns the events that it completes. */
   push (text: string): ServerSentEvent[] {
     const events: ServerSentEvent[] = []
     const lines = (this._pending + text).split(/\r\n|\n|\r/)
     this._pending = lines.pop() ?? ''
-    if (this._pending.length > MAX_PENDING_CHARACTERS) this._pending = ''
     for (const line of lines) this._parseLine(line, events)
+    if (this._pending.length + this._dataCharacters > MAX_PENDING_CHARACTERS) this._discard()
     return events
   }
 
@@ -38,12 +45,22 @@
       if (this._dataLines.length > 0) events.push({ event: this._eventName === '' ? 'message' : this._eventName, data: this._dataLines.join('\n') })
       this._eventName = ''
       this._dataLines = []
+      this._dataCharacters = 0
       return
     }
     const colon = line.indexOf(':')
     const field = colon < 0 ? line : line.slice(0, colon)
     const value = colon < 0 ? '' : line.slice(colon + 1).replace(/^ /, '')
     if (field === 'event') this._eventName = value
-    if (field === 'data') this._dataLines.push(value)
+    if (field !== 'data') return
+    this._dataLines.push(value)
+    this._dataCharacters += value.length + 1
+  }
+
+  private _discard (): void {
+    this._isOverlong = true
+    this._pending = ''
+    this._dataLines = []
+    this._dataCharacters = 0
   }
 }
