Choice of workers: a worker that caches a session has the shared prompt before it too

Cause: the owner of a program reports where later parts of a prompt are cached, but not the first one, and a node knows that only of its own requests, one in 74. The estimate stopped at the first part as missing and counted the session behind it as missing too, so it preferred the few workers on which every shared prompt is assumed.

Change: the estimate goes from the last part back to the first that is cached; what precedes a cached part was read with it.

Evidence: 'a session returns to its worker also from a node that has not seen the shared prompt there' fails before (w6 chosen for w0).

--- a/packages/core/src/common/workers/workerChoice.ts
+++ b/packages/core/src/common/workers/workerChoice.ts
@@ -130,15 +130,17 @@
   }
 
   /**
-   * Tokens that the worker has to process: everything from the first gap in its cache on. The first part counts as cached on
-   * its prefix workers, so that they are chosen for it.
+   * Tokens that the worker has to process. A worker that caches a part has processed the parts before it too, with the same
+   * request. The first part counts as cached on its prefix workers, so that they are chosen for it.
    */
   private _missingTokens (worker: WorkerRegistration, { prompt, cached }: WorkerChoiceQuery, prefixWorkers: ReadonlySet<string>): number {
     let missingTokens = 0
-    for (const [index, part] of prompt.entries()) {
+    for (let index = prompt.length - 1; index >= 0; index--) {
+      const part = prompt[index]
       const isShared = index === 0 && prefixWorkers.has(worker.workerId)
-      const cachedTokens = missingTokens > 0 ? 0 : isShared ? part.tokens : this._cachedTokens(worker, part, cached)
+      const cachedTokens = isShared ? part.tokens : this._cachedTokens(worker, part, cached)
       missingTokens += Math.max(0, part.tokens - cachedTokens)
+      if (cachedTokens > 0) break
     }
     return missingTokens
   }
--- a/packages/core/test/common/workers/workers.test.ts
+++ b/packages/core/test/common/workers/workers.test.ts
@@ -63,6 +63,15 @@
   assert.is.not(choice.chooseWorker(query)?.workerId, 'w2')
 })
 
+test('a session returns to its worker also from a node that has not seen the shared prompt there', () => {
+  const workers = Array.from({ length: 8 }, (_, index) => createWorker(`w${index}`, { slots: 12 }))
+  const prompt = [{ id: 'shared', tokens: 12_600 }, { id: 'own', tokens: 5_800 }]
+  for (const { workerId } of workers) {
+    const choice = new WorkerChoice(DEFAULT_WORKER_CHOICE, new WorkerStatistics(), new SeededRandom(1))
+    assert.is(choice.chooseWorker(createQuery(workers, { prompt, cached: [{ id: 'own', tokens: 5_000, worker: workerId }] }))?.workerId, workerId)
+  }
+})
+
 test('a shared prompt is kept on a few workers, the same for every node', () => {
   const workers = Array.from({ length: 8 }, (_, index) => createWorker(`w${index}`, { slots: 12 }))
   const prompt = [{ id: 'shared', tokens: 12_600 }, { id: 'own', tokens: 800 }]
