Slots of model engines are assigned by one coordinator per service

Cause (H1): a node knew the other nodes' requests in flight from statuses whose period grows with the number of nodes, 1.2 s for 74, while a turn takes 0.35 s. Failures and caches were known only from a node's own requests, one in 74 (H2, H4).

Change: the node chosen by rendezvous among the large ready nodes assigns the slots of a service's engines, so that load, caches, durations and failures of all nodes are known where the choice is made, and requests wait there, by rank, instead of at the engines. Nodes choose by themselves only while it does not reply. Ruled out: more frequent statuses (messages grow with the square of the nodes), reports of the workers (priced, late).

--- a/packages/core/src/common/workers/index.ts
+++ b/packages/core/src/common/workers/index.ts
@@ -1,3 +1,5 @@
+export * from './programsInProgress.js'
+export * from './servicePlacement.js'
 export * from './workerChoice.js'
 export * from './workerRegistry.js'
 export * from './workerStatistics.js'
--- /dev/null
+++ b/packages/core/src/common/workers/servicePlacement.ts
@@ -0,0 +1,288 @@
+/** Assigns the requests of a service to its workers at the one node that knows all of them, with a queue while no slot is free. */
+import type { CachedPart, PromptPart } from '../turns/promptCacheIndex.js'
+import type { IRandom } from '../kernel/random.js'
+import { ProgramsInProgress, type ProgramsInProgressOptions } from './programsInProgress.js'
+import { DEFAULT_WORKER_CHOICE, WorkerChoice } from './workerChoice.js'
+import type { WorkerRegistration } from './workerRegistry.js'
+import { WorkerStatistics } from './workerStatistics.js'
+
+/** A request that needs a slot of a worker. */
+export interface PlacementRequest {
+  /** Unique among all nodes. */
+  placementId: string
+  /** Absent for requests that belong to no program. */
+  programId?: string
+  /** True if the program has completed a turn; its first turns may be refused to protect those in progress. */
+  hasBegun: boolean
+  /** Rank of the route; 0 is the most urgent. */
+  priority: number
+  /** Latency objective of the route. */
+  objectiveMs: number
+  /** Expected duration on an idle worker. */
+  durationMs: number
+  /** Time until the request's deadline. */
+  timeLeftMs: number
+  /** Time until the program should be finished, if known. */
+  finishMs?: number
+  /** Zone of the node that sends the request to the worker. */
+  zone: string
+  prompt: PromptPart[]
+  /** Parts of the prompt that workers are known to cache. */
+  cached: CachedPart[]
+  /** Ids of workers that must not be chosen. */
+  excluded: string[]
+}
+
+/** How a placed request ended at its worker. */
+export interface PlacementEnd {
+  /** Ratio of the duration to the mean of the route; absent if the request did not complete. */
+  durationRatio?: number
+  /** Severity of a failure of the worker, up to 1; absent if it did not fail. */
+  failureSeverity?: number
+}
+
+/** Decision on a request. */
+export type SlotPlacement =
+  | { type: 'placed', placementId: string, workerId: string }
+  /** Not placed, and not going to be. */
+  | { type: 'refused', placementId: string, retryAfterMs: number }
+
+export interface ServicePlacementOptions extends ProgramsInProgressOptions {
+  /** Programs of a rank below the most urgent one begin only while the programs in progress, and their parallel turns, are fewer than this multiple of the slots. */
+  maxProgramsPerSlot: number
+  /** The same for programs that have waited so long for their first turn that they can hardly finish in time. */
+  maxProgramsPerSlotIfDelayed: number
+  /** Requests that a worker gets beyond its slots. While they wait there, their prompts stay where they are cached. */
+  queuePerWorker: number
+  /** Longest wait of a program's first turn, as a share of its objective. */
+  beginWaitShare: number
+  /** Longest wait of a turn of a program in progress; callers give up on streams without a first event after two seconds. */
+  maxWaitMs: number
+  /** Least time after which a refused caller should return, and the width of the range over which returns are spread. */
+  retryAfterMs: number
+  retryAfterSpreadMs: number
+  /** Time for which a load known from elsewhere counts after `adoptLoad`; it decreases evenly to 0. */
+  adoptedLoadMs: number
+  /** A placement whose release is lost is removed this long after its request's deadline. */
+  releaseGraceMs: number
+}
+
+/** Default options. */
+export const DEFAULT_SERVICE_PLACEMENT: ServicePlacementOptions = {
+  maxProgramsPerSlot: Number.POSITIVE_INFINITY,
+  maxProgramsPerSlotIfDelayed: Number.POSITIVE_INFINITY,
+  pauseMs: 400,
+  queuePerWorker: 2,
+  beginWaitShare: 0.25,
+  maxWaitMs: 1_200,
+  retryAfterMs: 300,
+  retryAfterSpreadMs: 400,
+  memoryMs: 10_000,
+  adoptedLoadMs: 1_000,
+  releaseGraceMs: 500
+}
+
+/** Workers that may serve a request, and what they can hold. */
+export interface PlacementService {
+  workers: readonly WorkerRegistration[]
+  /** Tokens that fit into the prompt cache of one worker. */
+  cacheTokens: number
+}
+
+interface QueuedRequest {
+  request: PlacementRequest
+  isBegun: boolean
+  isDelayed: boolean
+  untilMs: number
+  order: number
+}
+
+interface OpenPlacement {
+  workerId: string
+  programId: string | undefined
+  expiresAtMs: number
+}
+
+const ADOPTED_LOAD = 'adopted'
+
+/**
+ * The state of one service, or of one part of its workers. No worker gets many more requests at once than it has slots, so queues
+ * form here, in order of rank, and not at the workers.
+ *
+ * @example
+ * for (const decided of placements.place(request, service, nowMs)) reply(decided)
+ * for (const decided of placements.release('n1/7', { durationRatio: 1.1 }, service, nowMs)) reply(decided)
+ */
+export class ServicePlacement {
+  private readonly _statistics = new WorkerStatistics()
+  private readonly _choice: WorkerChoice
+  private readonly _open = new Map<string, OpenPlacement>()
+  private readonly _programs: ProgramsInProgress
+  private _queue: QueuedRequest[] = []
+  private _lastOrder = 0
+  private _adoptedLoad: Readonly<Record<string, number>> = {}
+  private _adoptedAtMs = Number.NEGATIVE_INFINITY
+
+  constructor (private readonly _random: IRandom, private readonly _options: ServicePlacementOptions = DEFAULT_SERVICE_PLACEMENT) {
+    this._programs = new ProgramsInProgress(_options)
+    // The caches are known here, so one worker is enough to begin with a shared prompt; further copies follow from load.
+    this._choice = new WorkerChoice({ ...DEFAULT_WORKER_CHOICE, prefixCopies: 1 }, this._statistics, _random)
+  }
+
+  /** Requests placed and not released. */
+  get openCount (): number {
+    return this._open.size
+  }
+
+  get queueLength (): number {
+    return this._queue.length
+  }
+
+  /** Counts requests in flight by worker that another coordinator has placed. */
+  adoptLoad (inFlight: Readonly<Record<string, number>>, nowMs: number): void {
+    this._adoptedLoad = inFlight
+    this._adoptedAtMs = nowMs
+  }
+
+  /** Queues the request and returns the decisions that follow; a later call of `release` or `decideQueued` returns its own if they hold none. */
+  place (request: PlacementRequest, service: PlacementService, nowMs: number): SlotPlacement[] {
+    this._updateAdoptedLoad(nowMs)
+    const queued = this._createQueued(request, nowMs)
+    const index = this._queue.findIndex(other => compareQueued(queued, other) < 0)
+    if (index < 0) this._queue.push(queued)
+    else this._queue.splice(index, 0, queued)
+    return this.decideQueued(service, nowMs)
+  }
+
+  /** Ends a placement, or removes the request from the queue, and returns the decisions that follow. */
+  release (placementId: string, end: PlacementEnd, service: PlacementService, nowMs: number): SlotPlacement[] {
+    const open = this._open.get(placementId)
+    if (open === undefined) {
+      this._queue = this._queue.filter(({ request }) => request.placementId !== placementId)
+      return []
+    }
+    this._close(placementId, open, nowMs, end.durationRatio)
+    if (end.failureSeverity !== undefined) this._statistics.recordFailure(open.workerId, nowMs, end.failureSeverity)
+    return this.decideQueued(service, nowMs)
+  }
+
+  /** Places what has a free slot, in order, and refuses what has waited too long. Must also be called periodically. */
+  decideQueued (service: PlacementService, nowMs: number): SlotPlacement[] {
+    this._updateAdoptedLoad(nowMs)
+    const decided: SlotPlacement[] = []
+    const remaining: QueuedRequest[] = []
+    let free = this._queue.length === 0 ? 0 : this._freeSlots(service)
+    const slots = service.workers.reduce((total, worker) => total + worker.slots, 0)
+    let programs = this._queue.every(isAlwaysAdmitted) ? 0 : this._programCount(nowMs)
+    for (const queued of this._queue) {
+      const mayBegin = isAlwaysAdmitted(queued) || programs < slots * this._maxProgramsPerSlot(queued)
+      const placement = free > 0 && mayBegin ? this._placeNow(queued.request, service, nowMs) : undefined
+      if (placement !== undefined) {
+        free--
+        if (!queued.isBegun) programs++
+        decided.push(placement)
+      } else if (nowMs >= queued.untilMs) {
+        decided.push({ type: 'refused', placementId: queued.request.placementId, retryAfterMs: this._drawRetryAfterMs() })
+      } else {
+        remaining.push(queued)
+      }
+    }
+    this._queue = remaining
+    return decided
+  }
+
+  /** Removes a worker's cache and averages, because it has left or restarted. */
+  removeWorker (workerId: string): void {
+    this._statistics.removeWorker(workerId)
+  }
+
+  /** Ends the placements whose release is overdue and forgets ended programs; returns the ids of the placements. */
+  removeExpired (nowMs: number): string[] {
+    const expired = [...this._open].filter(([, { expiresAtMs }]) => nowMs >= expiresAtMs)
+    for (const [placementId, open] of expired) this._close(placementId, open, nowMs)
+    this._programs.removeEnded(nowMs)
+    return expired.map(([placementId]) => placementId)
+  }
+
+  private _placeNow (request: PlacementRequest, { workers, cacheTokens }: PlacementService, nowMs: number): SlotPlacement | undefined {
+    const worker = this._choice.chooseWorker({
+      candidates: workers.filter(({ workerId, slots }) => this._statistics.inFlightOf(workerId) < slots + this._options.queuePerWorker),
+      excluded: new Set(request.excluded),
+      zone: request.zone,
+      durationMs: request.durationMs,
+      prompt: request.prompt,
+      cached: request.cached,
+      isConnected: () => true,
+      nowMs
+    })
+    if (worker === undefined) return undefined
+    const { workerId } = worker
+    this._open.set(request.placementId, { workerId, programId: request.programId, expiresAtMs: nowMs + request.timeLeftMs + this._options.releaseGraceMs })
+    this._statistics.beginRequest(workerId)
+    this._statistics.recordPrompt(workerId, request.prompt, cacheTokens)
+    this._programs.beginTurn(request.programId, nowMs)
+    return { type: 'placed', placementId: request.placementId, workerId }
+  }
+
+  private _close (placementId: string, { workerId, programId }: OpenPlacement, nowMs: number, durationRatio?: number): void {
+    this._open.delete(placementId)
+    this._statistics.endRequest(workerId, durationRatio)
+    this._programs.endTurn(programId, nowMs)
+  }
+
+  private _createQueued (request: PlacementRequest, nowMs: number): QueuedRequest {
+    this._programs.observe(request, nowMs)
+    const isBegun = request.hasBegun || this._programs.hasBegun(request.programId, nowMs)
+    const isDelayed = !isBegun && this._programs.waitedMs(request, nowMs) > request.objectiveMs
+    const { maxWaitMs, beginWaitShare } = this._options
+    // A delayed program can only be late, so a place in the queue serves it better than another refusal.
+    const mayWait = isAlwaysAdmitted({ request, isBegun }) || isDelayed
+    const waitMs = mayWait ? Math.min(maxWaitMs, request.timeLeftMs - request.durationMs) : request.objectiveMs * beginWaitShare
+    return { request, isBegun, isDelayed, untilMs: nowMs + waitMs, order: ++this._lastOrder }
+  }
+
+  /** Programs in progress with their parallel turns. */
+  private _programCount (nowMs: number): number {
+    return this._open.size + this._programs.pausingCount(nowMs) + this._queue.filter(({ isBegun }) => isBegun).length
+  }
+
+  private _maxProgramsPerSlot ({ isDelayed }: QueuedRequest): number {
+    const { maxProgramsPerSlot, maxProgramsPerSlotIfDelayed } = this._options
+    return isDelayed ? maxProgramsPerSlotIfDelayed : maxProgramsPerSlot
+  }
+
+  private _freeSlots ({ workers }: PlacementService): number {
+    return workers.reduce((total, { workerId, slots }) => total + Math.max(0, slots + this._options.queuePerWorker - this._statistics.inFlightOf(workerId)), 0)
+  }
+
+  private _updateAdoptedLoad (nowMs: number): void {
+    const share = 1 - (nowMs - this._adoptedAtMs) / this._options.adoptedLoadMs
+    if (share <= 0) {
+      this._statistics.removePeerLoad(ADOPTED_LOAD)
+      return
+    }
+    const entries = Object.entries(this._adoptedLoad).map(([workerId, inFlight]) => [workerId, Math.round(inFlight * share)] as const)
+    this._statistics.setPeerLoad(ADOPTED_LOAD, Object.fromEntries(entries))
+  }
+
+  private _drawRetryAfterMs (): number {
+    return this._options.retryAfterMs + this._random.next() * this._options.retryAfterSpreadMs
+  }
+}
+
+function isAlwaysAdmitted ({ request, isBegun }: Pick<QueuedRequest, 'request' | 'isBegun'>): boolean {
+  return isBegun || request.priority === 0
+}
+
+/** Negative if `left` is placed first: by rank, then programs that can still finish in time, then those in progress, then those that were not delayed, then in order of arrival. */
+function compareQueued (left: QueuedRequest, right: QueuedRequest): number {
+  return left.request.priority - right.request.priority ||
+    Number(isLate(left.request)) - Number(isLate(right.request)) ||
+    Number(right.isBegun) - Number(left.isBegun) ||
+    Number(left.isDelayed) - Number(right.isDelayed) ||
+    left.order - right.order
+}
+
+function isLate ({ finishMs, durationMs }: PlacementRequest): boolean {
+  return finishMs !== undefined && finishMs < durationMs
+}
--- a/packages/core/src/common/workers/workerStatistics.ts
+++ b/packages/core/src/common/workers/workerStatistics.ts
@@ -18,6 +18,8 @@
   lastFailureAtMs: number
   /** Tokens of each prompt part that the worker has processed, the least recently used part first. */
   cachedParts: Map<string, number>
+  /** Sum of the tokens of `cachedParts`. */
+  cachedTokens: number
 }
 
 /** Statistics of the workers that the choice of a worker uses. */
@@ -28,8 +30,8 @@
   endRequest (workerId: string, ratio?: number): void
   /** Adds a failure. `severity` is 1 for a lost request, less for one that was answered with a failure or refused. */
   recordFailure (workerId: string, nowMs: number, severity?: number): void
-  /** Records the parts of a prompt as cached by the worker. */
-  recordPrompt (workerId: string, prompt: readonly PromptPart[]): void
+  /** Records the parts of a prompt as cached by the worker. With `cacheTokens`, the least recently used parts beyond that are removed. */
+  recordPrompt (workerId: string, prompt: readonly PromptPart[], cacheTokens?: number): void
   /** Replaces the number of a peer's requests in flight by worker. */
   setPeerLoad (peer: string, inFlight: Readonly<Record<string, number>>): void
   /** Removes the load of a peer. */
@@ -73,16 +75,19 @@
     entry.lastFailureAtMs = nowMs
   }
 
-  recordPrompt (workerId: string, prompt: readonly PromptPart[]): void {
-    const { cachedParts } = this._resolveEntry(workerId)
+  recordPrompt (workerId: string, prompt: readonly PromptPart[], cacheTokens = Number.POSITIVE_INFINITY): void {
+    const entry = this._resolveEntry(workerId)
+    const { cachedParts } = entry
     for (const { id, tokens } of prompt) {
       const known = cachedParts.get(id) ?? 0
       cachedParts.delete(id)
       cachedParts.set(id, Math.max(known, tokens))
+      entry.cachedTokens += Math.max(known, tokens) - known
     }
-    for (const partId of cachedParts.keys()) {
-      if (cachedParts.size <= MAX_CACHED_PARTS) return
+    for (const [partId, tokens] of cachedParts) {
+      if (cachedParts.size <= MAX_CACHED_PARTS && entry.cachedTokens <= cacheTokens) return
       cachedParts.delete(partId)
+      entry.cachedTokens -= tokens
     }
   }
 
@@ -102,8 +107,12 @@
   removeWorker (workerId: string): void {
     const entry = this._entries.get(workerId)
     if (entry === undefined) return
-    if (entry.inFlight === 0) this._entries.delete(workerId)
-    else entry.cachedParts.clear()
+    if (entry.inFlight === 0) {
+      this._entries.delete(workerId)
+    } else {
+      entry.cachedParts.clear()
+      entry.cachedTokens = 0
+    }
   }
 
   inFlightOf (workerId: string): number {
@@ -148,7 +157,8 @@
         durationRatio: new Ewma(SAMPLE_WEIGHT, 1),
         failureRate: new Ewma(SAMPLE_WEIGHT, 0),
         lastFailureAtMs: Number.NEGATIVE_INFINITY,
-        cachedParts: new Map()
+        cachedParts: new Map(),
+        cachedTokens: 0
       }
       this._entries.set(workerId, entry)
     }
--- /dev/null
+++ b/packages/core/test/common/workers/load/coordinatedPlacement.ts
@@ -0,0 +1,81 @@
+/** Nodes that request a slot of a worker from the coordinator of the service. */
+import { PromptCacheIndex, SeededRandom, ServicePlacement, type PlacementEnd, type SlotPlacement } from '@trefoilshunt/core'
+import { drawWayMs, type SimulatedFleet } from './localPlacement.js'
+import type { StartAttempt } from './programLoad.js'
+import { GROWN_ENGINE, type EngineRequest, type SimulatedEngine } from './simulatedEngine.js'
+
+const BUSY_RETRY_AFTER_MS = 120
+const EXPECTED_MS = 320
+const DEADLINE_MS = 3_000
+const DECISION_PERIOD_MS = 20
+
+export function createCoordinatedPlacement ({ simulation, random, workers, engines }: SimulatedFleet): StartAttempt {
+  const service = { workers, cacheTokens: GROWN_ENGINE.kvTokens }
+  const coordinator = new ServicePlacement(new SeededRandom(1))
+  const sessions = new PromptCacheIndex()
+  const waiting = new Map<string, (placement: SlotPlacement) => void>()
+  let lastId = 0
+  const reply = (placement: SlotPlacement): void => {
+    const onPlacement = waiting.get(placement.placementId)
+    waiting.delete(placement.placementId)
+    simulation.schedule(drawWayMs(random), () => onPlacement?.(placement))
+  }
+  const decide = (): void => {
+    coordinator.decideQueued(service, simulation.nowMs).forEach(reply)
+    simulation.schedule(DECISION_PERIOD_MS, decide)
+  }
+  decide()
+  return attempt => {
+    const placementId = String(++lastId)
+    const { prompt } = attempt
+    let isOpen = true
+    const release = (end: PlacementEnd): void => {
+      simulation.schedule(drawWayMs(random), () => coordinator.release(placementId, end, service, simulation.nowMs).forEach(reply))
+    }
+    const close = (end: PlacementEnd, then: () => void): void => {
+      if (!isOpen) return
+      isOpen = false
+      release(end)
+      then()
+    }
+    const request: EngineRequest = {
+      prompt,
+      outputTokens: attempt.outputTokens,
+      urgency: attempt.priority * 2 + (attempt.isFirstTurn ? 1 : 0),
+      onFirstToken: attempt.onFirstToken,
+      onEnd: () => close({ durationRatio: 1 }, () => attempt.onEnd()),
+      onRefused: () => close({ failureSeverity: 0.5 }, () => attempt.onRefused(BUSY_RETRY_AFTER_MS))
+    }
+    let engine: SimulatedEngine | undefined
+    waiting.set(placementId, placement => {
+      if (placement.type === 'refused') {
+        close({}, () => attempt.onRefused(placement.retryAfterMs))
+        return
+      }
+      if (!isOpen) {
+        release({})
+        return
+      }
+      engine = engines.get(placement.workerId)
+      sessions.recordPrompt(placement.workerId, prompt)
+      simulation.schedule(drawWayMs(random), () => { if (isOpen) engine?.submit(request) })
+    })
+    simulation.schedule(drawWayMs(random), () => {
+      coordinator.place({
+        placementId,
+        programId: attempt.programId,
+        hasBegun: !attempt.isFirstTurn,
+        priority: attempt.priority,
+        objectiveMs: attempt.objectiveMs,
+        durationMs: EXPECTED_MS,
+        timeLeftMs: DEADLINE_MS,
+        finishMs: attempt.finishMs,
+        zone: 'a',
+        prompt,
+        cached: sessions.find(prompt),
+        excluded: []
+      }, service, simulation.nowMs).forEach(reply)
+    })
+    return () => close({}, () => engine?.cancel(request))
+  }
+}
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -1,5 +1,5 @@
 /** Messages between the nodes that serve routed requests. Sent as MessagePack, because they carry prompts and answers as bytes. */
-import type { CachedPart, GrantRequest, KeyedRecord, RetainedTurn, TurnEnd } from '@trefoilshunt/core'
+import type { CachedPart, GrantRequest, KeyedRecord, PlacementEnd, PlacementRequest, RetainedTurn, TurnEnd } from '@trefoilshunt/core'
 
 /** How a node can be reached. */
 export interface NodeAddress {
@@ -34,6 +34,8 @@
   /** Partitions that the node owns and serves, with the epoch of each. */
   owned: Array<[partition: number, epoch: number]>
   documentVersion: number
+  /** Processor cores of the sender; nodes with more of them coordinate placements. */
+  cores: number
   /** Time since the last response of the log to the sender. */
   logSilenceMs: number
   /** The sender's requests in flight by worker. */
@@ -59,7 +61,25 @@
   | { type: 'ended' }
   | { type: 'unavailable', detail: string }
 
+/** A part of the workers of a service, whose slots one node assigns. */
+export interface ServiceShard {
+  service: string
+  /** From 0 to `count` - 1; `count` is the number of parts. */
+  index: number
+  count: number
+}
+
+/** Replies to a request for a slot; `queued` is followed by another reply. */
+export type PlaceReply =
+  | { type: 'placed', workerId: string }
+  | { type: 'queued' }
+  | { type: 'refused', retryAfterMs: number }
+
 export type PeerRequest =
+  /** Requests a slot of a worker from the coordinator. */
+  | { type: 'place', shard: ServiceShard, from: string, request: PlacementRequest }
+  /** Returns a slot, or withdraws the request for one. Gets no reply. */
+  | { type: 'release', shard: ServiceShard, placementId: string, end: PlacementEnd }
   /** Requests a turn from the owner of the program's partition; `isKept` if the turn will be retained. */
   | { type: 'grant', partition: number, request: GrantRequest, isKept: boolean }
   /** Reports the end of a turn. */
@@ -72,6 +92,7 @@
 export type PeerReply =
   | GrantReply
   | EndReply
+  | PlaceReply
   /** `chain` is absent if the turn was not found; `partitions` are those that were searched by their confirmed owner. */
   | { type: 'chain', chain?: RetainedTurn[], partitions: number[] }
   /** `records` is absent if the peer has not read the topic. */
--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -187,6 +187,12 @@
     return await new Promise(resolve => { this.request(node, request, { timeoutMs, onReply: resolve }) })
   }
 
+  /** Sends a request that gets no reply; does nothing if the peer isn't connected. */
+  notify (node: string, request: PeerRequest): void {
+    const connection = this._connections.get(node)
+    if (connection?.isConnected === true) connection.socket?.write(this._encode({ t: 'q', i: ++this._lastId, q: request }))
+  }
+
   /** Closes all connections and stops listening. */
   async close (): Promise<void> {
     this._isClosed = true
--- /dev/null
+++ b/packages/node/src/node/routed/placementCoordinator.ts
@@ -0,0 +1,160 @@
+/** Assigns slots of workers for the service shards that this node coordinates. */
+import { hash32, type IRandom, type IRouteTable, type IWorkerRegistry, type IWorkerStatistics, type LogFields, type PlacementService, type PlacementEnd, type PlacementRequest, ServicePlacement, type SlotPlacement } from '@trefoilshunt/core'
+import type { PlaceReply, ServiceShard } from '../../common/routed/routedPeerMessages.js'
+import { steadyNowMs } from '../steadyClock.js'
+
+/** While requests are queued, waits are checked this often; slots that become free are assigned at once. */
+const QUEUE_CHECK_MS = 25
+const EXPIRY_CHECK_MS = 1_000
+/** Without a request for this long, another node has coordinated the shard in the meantime. */
+const TAKEOVER_PAUSE_MS = 1_500
+
+/** Sends a reply to a request for a slot; none follows one with `isLast`. */
+export type PlaceResponder = (reply: PlaceReply | { type: 'unavailable', detail: string }, isLast: boolean) => void
+
+export interface PlacementCoordinatorOptions {
+  routes: IRouteTable
+  registry: IWorkerRegistry
+  /** The load of all nodes as this node knows it, adopted when it becomes a coordinator. */
+  statistics: IWorkerStatistics
+  random: IRandom
+  write: (event: string, fields: LogFields) => void
+}
+
+interface Shard {
+  shard: ServiceShard
+  placement: ServicePlacement
+  lastRequestAtMs: number
+}
+
+interface OpenRequest {
+  key: string
+  from: string
+  /** Absent once the request is decided. */
+  respond?: PlaceResponder
+}
+
+/**
+ * @example
+ * coordinator.place(shard, 'n1', request, (reply, isLast) => send(reply, isLast))
+ * coordinator.release(shard, request.placementId, { durationRatio: 1 })
+ */
+export class PlacementCoordinator {
+  private readonly _shards = new Map<string, Shard>()
+  private readonly _openRequests = new Map<string, OpenRequest>()
+  private _queueTimer: NodeJS.Timeout | undefined
+  private readonly _expiryTimer: NodeJS.Timeout
+
+  constructor (private readonly _options: PlacementCoordinatorOptions) {
+    this._expiryTimer = setInterval(() => this._removeExpired(), EXPIRY_CHECK_MS)
+  }
+
+  /** Requests placed by this node and not released. */
+  get openCount (): number {
+    let count = 0
+    for (const { placement } of this._shards.values()) count += placement.openCount
+    return count
+  }
+
+  get queueLength (): number {
+    let length = 0
+    for (const { placement } of this._shards.values()) length += placement.queueLength
+    return length
+  }
+
+  /** Handles the request of node `from` for a slot. */
+  place (shard: ServiceShard, from: string, request: PlacementRequest, respond: PlaceResponder): void {
+    const service = this._serviceOf(shard)
+    if (service.workers.length === 0) {
+      respond({ type: 'unavailable', detail: 'no worker is known' }, true)
+      return
+    }
+    const nowMs = steadyNowMs()
+    const state = this._resolveShard(shard, service, nowMs)
+    state.lastRequestAtMs = nowMs
+    this._openRequests.set(request.placementId, { key: keyOf(shard), from, respond })
+    const decided = state.placement.place(request, service, nowMs)
+    if (decided.every(({ placementId }) => placementId !== request.placementId)) {
+      respond({ type: 'queued' }, false)
+      this._queueTimer ??= setInterval(() => this._checkQueues(), QUEUE_CHECK_MS)
+    }
+    this._reply(decided)
+  }
+
+  /** Takes a slot back, or removes the request from the queue; ignored for an unknown placement. */
+  release (shard: ServiceShard, placementId: string, end: PlacementEnd): void {
+    const state = this._shards.get(keyOf(shard))
+    if (state === undefined || !this._openRequests.delete(placementId)) return
+    this._reply(state.placement.release(placementId, end, this._serviceOf(shard), steadyNowMs()))
+  }
+
+  /** Takes back the slots of a node that has failed. */
+  releaseAllOf (node: string): void {
+    for (const [placementId, { key, from }] of this._openRequests) {
+      const state = from === node ? this._shards.get(key) : undefined
+      if (state !== undefined) this.release(state.shard, placementId, {})
+    }
+  }
+
+  /** Forgets what is known of a worker that has left or restarted. */
+  removeWorker (workerId: string): void {
+    for (const { placement } of this._shards.values()) placement.removeWorker(workerId)
+  }
+
+  dispose (): void {
+    clearInterval(this._queueTimer)
+    clearInterval(this._expiryTimer)
+  }
+
+  private _resolveShard (shard: ServiceShard, { workers }: PlacementService, nowMs: number): Shard {
+    const key = keyOf(shard)
+    const known = this._shards.get(key)
+    if (known !== undefined && nowMs - known.lastRequestAtMs < TAKEOVER_PAUSE_MS) return known
+    const state = known ?? { shard, placement: new ServicePlacement(this._options.random), lastRequestAtMs: nowMs }
+    this._shards.set(key, state)
+    state.placement.adoptLoad(Object.fromEntries(workers.map(({ workerId }) => [workerId, this._options.statistics.inFlightOf(workerId)])), nowMs)
+    this._options.write('placementCoordinated', { service: shard.service, shard: shard.index, shards: shard.count, workers: workers.length })
+    return state
+  }
+
+  private _serviceOf ({ service, index, count }: ServiceShard): PlacementService {
+    const workers = this._options.registry.workersOf(service, steadyNowMs())
+    return {
+      workers: count === 1 ? workers : workers.filter(({ workerId }) => hash32(workerId) % count === index),
+      cacheTokens: this._options.routes.findService(service)?.engine?.kvTokensCapacity ?? Number.POSITIVE_INFINITY
+    }
+  }
+
+  private _reply (decided: readonly SlotPlacement[]): void {
+    for (const placement of decided) {
+      const { placementId } = placement
+      const open = this._openRequests.get(placementId)
+      if (placement.type === 'placed') {
+        open?.respond?.({ type: 'placed', workerId: placement.workerId }, true)
+        if (open !== undefined) open.respond = undefined
+      } else {
+        this._openRequests.delete(placementId)
+        open?.respond?.({ type: 'refused', retryAfterMs: placement.retryAfterMs }, true)
+      }
+    }
+  }
+
+  private _checkQueues (): void {
+    for (const { shard, placement } of this._shards.values()) {
+      if (placement.queueLength > 0) this._reply(placement.decideQueued(this._serviceOf(shard), steadyNowMs()))
+    }
+    if (this.queueLength > 0) return
+    clearInterval(this._queueTimer)
+    this._queueTimer = undefined
+  }
+
+  private _removeExpired (): void {
+    for (const { placement } of this._shards.values()) {
+      for (const placementId of placement.removeExpired(steadyNowMs())) this._openRequests.delete(placementId)
+    }
+  }
+}
+
+function keyOf ({ service, index, count }: ServiceShard): string {
+  return `${service}/${index}/${count}`
+}
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -6,6 +6,7 @@
 import { steadyNowMs } from '../steadyClock.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
+import type { Slot, SlotRequest } from './slotClient.js'
 import type { GrantedTurn, GrantOutcome } from './turnService.js'
 import { WorkerAttempt } from './workerAttempt.js'
 
@@ -31,6 +32,7 @@
   private _service: RoutedService | undefined
   private _grant: GrantedTurn | undefined
   private _latestAttempt: WorkerAttempt | undefined
+  private _slotRequest: SlotRequest | undefined
   private _isDone = false
   /** Requests in flight at the worker of the latest attempt, as this node knew them when it chose the worker. */
   private _believedInFlight = 0
@@ -125,25 +127,54 @@
       this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'the request crashed several workers', RefusalReason.Quarantined)
       return
     }
-    const worker = this._chooseWorker()
-    if (worker === undefined) {
-      this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'no worker is available', RefusalReason.NoWorker)
-      return
-    }
-    this._believedInFlight = this._dependencies.statistics.inFlightOf(worker.workerId)
-    this._log('workerChosen', {
-      worker: worker.workerId,
-      zone: worker.zone,
-      attempt: this._sentCount + this._unsentCount + 1,
-      inFlight: this._believedInFlight,
-      slots: worker.slots,
-      loadAgeMs: Math.round(this._dependencies.loadAgeMs()),
-      isFirstTurn: this._needsGrant ? !this._hasBegun : undefined,
-      isSessionCached: this._needsGrant ? this._grant?.cached.some(part => part.worker === worker.workerId) : undefined,
-      excluded: this._excluded.size,
-      timeLeftMs: Math.round(this._timeLeftMs)
+    const service = this._drawEngineService()
+    if (service === undefined) this._sendToChosenWorker()
+    else void this._requestSlot(service)
+  }
+
+  /** The service for this attempt, if its workers are model engines, whose slots are assigned by a coordinator. */
+  private _drawEngineService (): RoutedService | undefined {
+    const { routes } = this._dependencies
+    const [name] = routes.drawServices(this._route)
+    const service = name === undefined ? undefined : routes.findService(name)
+    return service?.engine === undefined ? undefined : service
+  }
+
+  private async _requestSlot (service: RoutedService): Promise<void> {
+    const { slots, durations, metrics, zone } = this._dependencies
+    const startedMs = steadyNowMs()
+    this._slotRequest = slots.request(service.name, {
+      programId: this._request.program?.programId,
+      hasBegun: this._hasBegun,
+      priority: this._route.priority,
+      objectiveMs: this._route.objectiveMs,
+      durationMs: durations.expectedMs(this._route),
+      timeLeftMs: this._timeLeftMs,
+      finishMs: this._request.program?.finishMs,
+      zone,
+      prompt: this._request.prompt,
+      cached: this._grant?.cached ?? [],
+      excluded: [...this._excluded]
     })
-    this._send(worker)
+    const outcome = await this._slotRequest.outcome
+    if (outcome === undefined) return
+    const waitedMs = steadyNowMs() - startedMs
+    metrics.observeMs('slot_wait_ms', waitedMs, { outcome: outcome.type })
+    if (outcome.type !== 'placed') this._log('slotNotAssigned', { outcome: outcome.type, waitedMs: Math.round(waitedMs), detail: outcome.type === 'unavailable' ? outcome.detail : undefined })
+    if (outcome.type === 'placed') {
+      this._service = service
+      this._send(outcome.worker, outcome)
+    } else if (outcome.type === 'unavailable') {
+      this._sendToChosenWorker()
+    } else {
+      this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'no slot is free in time', RefusalReason.Overloaded, outcome.retryAfterMs)
+    }
+  }
+
+  private _sendToChosenWorker (): void {
+    const worker = this._chooseWorker()
+    if (worker !== undefined) this._send(worker)
+    else this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'no worker is available', RefusalReason.NoWorker)
   }
 
   private _chooseWorker (): WorkerRegistration | undefined {
@@ -166,8 +197,22 @@
     return undefined
   }
 
-  private _send (worker: WorkerRegistration): void {
-    const { nodeCount } = this._dependencies
+  private _send (worker: WorkerRegistration, slot?: Slot): void {
+    const { nodeCount, statistics, loadAgeMs } = this._dependencies
+    this._believedInFlight = statistics.inFlightOf(worker.workerId)
+    this._log('workerChosen', {
+      worker: worker.workerId,
+      zone: worker.zone,
+      attempt: this._sentCount + this._unsentCount + 1,
+      isCoordinated: slot !== undefined,
+      inFlight: this._believedInFlight,
+      slots: worker.slots,
+      loadAgeMs: Math.round(loadAgeMs()),
+      isFirstTurn: this._needsGrant ? !this._hasBegun : undefined,
+      isSessionCached: this._needsGrant ? this._grant?.cached.some(part => part.worker === worker.workerId) : undefined,
+      excluded: this._excluded.size,
+      timeLeftMs: Math.round(this._timeLeftMs)
+    })
     const request = this._request
     this._relay.beginAttempt()
     this._latestAttempt = new WorkerAttempt({
@@ -175,6 +220,7 @@
       route: this._route,
       worker,
       prompt: request.prompt,
+      onReleased: end => slot?.release(end),
       call: {
         workerId: worker.workerId,
         address: worker.address,
@@ -281,11 +327,11 @@
   }
 
   /** Ends the request without a complete answer: aborts an answer that has begun, else refuses the request. */
-  private _endWithoutAnswer (next: NextAction, detail: string, reason: RefusalReason = RefusalReason.OutcomeUnknown): void {
+  private _endWithoutAnswer (next: NextAction, detail: string, reason: RefusalReason = RefusalReason.OutcomeUnknown, retryAfterMs = BUSY_RETRY_AFTER_MS): void {
     if (this._isDone) return
     this._reportTurnEnd(this._usedTokens)
     if (this._relay.hasBegun) this._abort(detail)
-    else if (next.type === 'notRun') this._refuse({ status: 503, reason, retryAfterMs: reason === RefusalReason.Quarantined ? QUARANTINE_RETRY_AFTER_MS : BUSY_RETRY_AFTER_MS }, detail)
+    else if (next.type === 'notRun') this._refuse({ status: 503, reason, retryAfterMs: reason === RefusalReason.Quarantined ? QUARANTINE_RETRY_AFTER_MS : retryAfterMs }, detail)
     else this._refuse({ status: 502, reason: RefusalReason.OutcomeUnknown }, detail)
   }
 
@@ -343,6 +389,7 @@
 
   private _endCall (outcome: string, status: number, reason?: string, detail?: string): void {
     this._isDone = true
+    this._slotRequest?.cancel()
     this._relay.stop()
     clearTimeout(this._expiryTimer)
     const { firstByteAtMs, eventCount } = this._relay
--- a/packages/node/src/node/routed/routedCallDependencies.ts
+++ b/packages/node/src/node/routed/routedCallDependencies.ts
@@ -4,6 +4,7 @@
 import type { IWorkerClient } from '../../common/routed/workerClient.js'
 import type { PoisonRequestDetector } from './poisonRequestDetector.js'
 import type { RouteDurations } from './routeDurations.js'
+import type { SlotClient } from './slotClient.js'
 import type { TurnService } from './turnService.js'
 
 export interface RoutedCallDependencies {
@@ -13,6 +14,8 @@
   registry: IWorkerRegistry
   statistics: IWorkerStatistics
   choice: IWorkerChoice
+  /** Slots of model engines. */
+  slots: SlotClient
   durations: RouteDurations
   workers: IWorkerClient
   turns: TurnService
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -16,9 +16,11 @@
 import { NodeDirectory } from './nodeDirectory.js'
 import { PartitionHost } from './partitionHost.js'
 import { PeerMesh, type PeerResponder } from './peerMesh.js'
+import { PlacementCoordinator } from './placementCoordinator.js'
 import { RouteDurations } from './routeDurations.js'
 import { startRoutedCall } from './startRoutedCall.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
+import { SlotClient } from './slotClient.js'
 import { StatusBroadcast } from './statusBroadcast.js'
 import { TurnService } from './turnService.js'
 
@@ -36,6 +38,8 @@
   zone: string
   peerAddress: string
   callerAddress: string
+  /** Processor cores of this node, fractions included; nodes with more of them coordinate placements. */
+  cores?: number
   /** Addresses of peers to connect to at the start, in case the log can't be read. */
   seedAddresses: readonly string[]
   partitionCount: number
@@ -74,6 +78,7 @@
   private readonly _mesh: PeerMesh
   private readonly _partitionHost: PartitionHost
   private readonly _turns: TurnService
+  private readonly _coordinator: PlacementCoordinator
   private readonly _clusterView: ClusterView
   private readonly _poisonRequestDetector: PoisonRequestDetector
   private readonly _statusBroadcast: StatusBroadcast
@@ -116,6 +121,7 @@
       onDisconnected: (peer, detail) => {
         write('peerLost', { peer, detail })
         this._statistics.removePeerLoad(peer)
+        this._coordinator.releaseAllOf(peer)
         this._directory.markDisconnected(peer)
       }
     })
@@ -135,6 +141,7 @@
     })
     this._poisonRequestDetector = new PoisonRequestDetector({ onCrashObserved: () => this._statusBroadcast.send(), write })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._partitionHost, mesh: this._mesh, directory: this._directory, write })
+    this._coordinator = new PlacementCoordinator({ routes: this._routes, registry: this._registry, statistics: this._statistics, random: container.resolve<IRandom>(IRandom), write })
     const { documentTopic, documentKey, workerTopic, codec } = _options
     this._clusterView = new ClusterView({
       node,
@@ -156,6 +163,7 @@
     }
     this._registry.onDidLoseWorker(({ workerId, address }) => {
       this._statistics.removeWorker(workerId)
+      this._coordinator.removeWorker(workerId)
       _options.workers.closeConnections(address)
       write('workerLost', { worker: workerId, address, isDraining: this._registry.find(workerId)?.isDraining })
     })
@@ -165,6 +173,16 @@
       registry: this._registry,
       statistics: this._statistics,
       choice: container.resolve<IWorkerChoice>(IWorkerChoice),
+      slots: new SlotClient({
+        node,
+        cores: this._cores,
+        isReady: () => this.isReady,
+        registry: this._registry,
+        directory: this._directory,
+        mesh: this._mesh,
+        coordinator: this._coordinator,
+        write
+      }),
       durations: new RouteDurations(),
       workers: _options.workers,
       turns: this._turns,
@@ -252,6 +270,7 @@
     this._loopDelay.disable()
     this._clusterView.stop()
     this._partitionHost.close()
+    this._coordinator.dispose()
     await Promise.all([this._mesh.close(), this._options.workers.close(), this._options.log.close()])
   }
 
@@ -271,6 +290,8 @@
       turns_held: served.reduce((total, owner) => total + owner.turnCount, 0),
       turn_bytes_held: served.reduce((total, owner) => total + owner.turnBytes, 0),
       programs_held: served.reduce((total, owner) => total + owner.programCount, 0),
+      placements_open: this._coordinator.openCount,
+      placements_queued: this._coordinator.queueLength,
       append_backlog: served.reduce((total, owner) => total + owner.backlog, 0),
       log_silence_ms: this._clusterView.sinceLogResponseMs,
       resident_memory_bytes: memory.rss,
@@ -280,6 +301,10 @@
     })
   }
 
+  private get _cores (): number {
+    return this._options.cores ?? 1
+  }
+
   private _composeStatus (): Omit<NodeStatus, 'periodMs' | 'peers'> {
     const crashes = this._poisonRequestDetector.observedCrashes
     return {
@@ -289,6 +314,7 @@
       isDraining: this._isDraining,
       owned: this._partitionHost.served.map(owner => [owner.partition, owner.epoch]),
       documentVersion: this._routes.version,
+      cores: this._cores,
       logSilenceMs: Math.round(this._clusterView.sinceLogResponseMs),
       load: this._statistics.ownLoad(),
       crashes: crashes.length === 0 ? undefined : crashes
@@ -305,8 +331,11 @@
 
   private _handlePeerRequest (request: PeerRequest, respond: PeerResponder): void {
     if (this._turns.handle(request, respond)) return
-    if (request.type !== 'topic') return
-    respond({ type: 'topicContent', records: this._clusterView.contentOf(request.topic) }, true)
+    switch (request.type) {
+      case 'place': return this._coordinator.place(request.shard, request.from, request.request, respond)
+      case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
+      case 'topic': return respond({ type: 'topicContent', records: this._clusterView.contentOf(request.topic) }, true)
+    }
   }
 
   private _write (level: LogLevel, event: string, fields: LogFields): void {
--- /dev/null
+++ b/packages/node/src/node/routed/slotClient.ts
@@ -0,0 +1,154 @@
+/** Obtains slots of workers from the node that coordinates them. */
+import { hash32, type IWorkerRegistry, type LogFields, type PlacementEnd, type PlacementRequest, resolveOwner, type WorkerRegistration } from '@trefoilshunt/core'
+import type { PeerReply, ServiceShard } from '../../common/routed/routedPeerMessages.js'
+import { steadyNowMs } from '../steadyClock.js'
+import type { NodeDirectory } from './nodeDirectory.js'
+import type { PeerMesh } from './peerMesh.js'
+import type { PlacementCoordinator } from './placementCoordinator.js'
+
+/** Workers of a service that one node coordinates at most; a larger service is divided among several. */
+const MAX_SHARD_WORKERS = 64
+/** A coordinator that has not replied after this is not asked again for `SUSPECT_MS`; nodes choose workers by themselves meanwhile. */
+const FIRST_REPLY_TIMEOUT_MS = 120
+const SUSPECT_MS = 1_000
+/** Longer than a request waits for a slot. */
+const SLOT_TIMEOUT_MS = 2_000
+/** Share of the cores of the largest node from which a node may coordinate. */
+const MIN_CORES_SHARE = 0.75
+const COORDINATOR_CACHE_MS = 50
+
+/** A slot of a worker; `release` must be called once. */
+export interface Slot {
+  type: 'placed'
+  worker: WorkerRegistration
+  release: (end: PlacementEnd) => void
+}
+
+/** `refused`: no slot will be free in time. `unavailable`: no coordinator has decided. */
+export type SlotOutcome = Slot | { type: 'refused', retryAfterMs: number } | { type: 'unavailable', detail: string }
+
+/** A request for a slot; the outcome after `cancel` is undefined, and a slot that is assigned nevertheless is returned. */
+export interface SlotRequest {
+  outcome: Promise<SlotOutcome | undefined>
+  cancel: () => void
+}
+
+export interface SlotClientOptions {
+  node: string
+  /** Processor cores of this node. */
+  cores: number
+  /** True if this node may coordinate. */
+  isReady: () => boolean
+  registry: IWorkerRegistry
+  directory: NodeDirectory
+  mesh: PeerMesh
+  coordinator: PlacementCoordinator
+  write: (event: string, fields: LogFields) => void
+}
+
+/**
+ * @example
+ * const { outcome } = slots.request('tailor-models', request)
+ * const slot = await outcome
+ * if (slot?.type === 'placed') slot.release({ durationRatio: 1 })
+ */
+export class SlotClient {
+  private readonly _suspectUntilMs = new Map<string, number>()
+  private readonly _coordinators = new Map<string, { node: string | undefined, atMs: number }>()
+  private _lastId = 0
+
+  constructor (private readonly _options: SlotClientOptions) {}
+
+  /** Requests a slot of a worker of the service. */
+  request (service: string, request: Omit<PlacementRequest, 'placementId'>): SlotRequest {
+    const shard = this._shardOf(service, request.programId)
+    const coordinator = this._coordinatorOf(shard)
+    if (coordinator === undefined) return createUnavailable('no coordinator is known')
+    if ((this._suspectUntilMs.get(coordinator) ?? 0) > steadyNowMs()) return createUnavailable('the coordinator did not reply')
+    const placementId = `${this._options.node}/${(++this._lastId).toString(36)}`
+    let isSettled = false
+    let settle: (outcome: SlotOutcome | undefined) => void = () => {}
+    const outcome = new Promise<SlotOutcome | undefined>(resolve => {
+      settle = result => {
+        isSettled = true
+        resolve(result)
+      }
+    })
+    const release = (end: PlacementEnd): void => this._release(coordinator, shard, placementId, end)
+    const timer = setTimeout(() => {
+      if (isSettled) return
+      this._suspectUntilMs.set(coordinator, steadyNowMs() + SUSPECT_MS)
+      this._options.write('coordinatorSuspected', { peer: coordinator, service })
+      release({})
+      settle({ type: 'unavailable', detail: 'the coordinator did not reply' })
+    }, FIRST_REPLY_TIMEOUT_MS)
+    this._send(coordinator, shard, { ...request, placementId }, reply => {
+      clearTimeout(timer)
+      if (reply?.type === 'queued') return
+      if (isSettled) {
+        if (reply?.type === 'placed') release({})
+        return
+      }
+      if (reply === undefined) release({})
+      settle(this._toOutcome(reply, release))
+    })
+    return {
+      outcome,
+      cancel: () => {
+        if (isSettled) return
+        clearTimeout(timer)
+        release({})
+        settle(undefined)
+      }
+    }
+  }
+
+  /** Workers of large services are divided evenly among shards; all turns of a program use the same one. */
+  private _shardOf (service: string, programId: string | undefined): ServiceShard {
+    const workerCount = this._options.registry.workersOf(service, steadyNowMs()).length
+    const count = Math.max(1, Math.ceil(workerCount / MAX_SHARD_WORKERS))
+    return { service, count, index: count === 1 ? 0 : hash32(programId ?? String(this._lastId)) % count }
+  }
+
+  /** The same at all nodes that see the same ready nodes; undefined if none is ready. */
+  private _coordinatorOf ({ service, index, count }: ServiceShard): string | undefined {
+    const key = `${service}/${index}/${count}`
+    const nowMs = steadyNowMs()
+    const known = this._coordinators.get(key)
+    if (known !== undefined && nowMs - known.atMs < COORDINATOR_CACHE_MS) return known.node
+    const { node, cores, directory, isReady } = this._options
+    const candidates = directory.alive
+      .filter(status => status.isReady && !status.isDraining)
+      .map(status => ({ name: status.from.node, cores: status.cores }))
+    if (isReady()) candidates.push({ name: node, cores })
+    const minCores = MIN_CORES_SHARE * Math.max(...candidates.map(candidate => candidate.cores))
+    const coordinator = resolveOwner(key, candidates.filter(candidate => candidate.cores >= minCores), ({ name }) => name)?.name
+    this._coordinators.set(key, { node: coordinator, atMs: nowMs })
+    return coordinator
+  }
+
+  private _send (coordinator: string, shard: ServiceShard, request: PlacementRequest, onReply: (reply: PeerReply | undefined) => void): void {
+    const { node, mesh, coordinator: own } = this._options
+    if (coordinator === node) own.place(shard, node, request, onReply)
+    else mesh.request(coordinator, { type: 'place', shard, from: node, request }, { timeoutMs: SLOT_TIMEOUT_MS, onReply })
+  }
+
+  private _release (coordinator: string, shard: ServiceShard, placementId: string, end: PlacementEnd): void {
+    const { node, mesh, coordinator: own } = this._options
+    if (coordinator === node) own.release(shard, placementId, end)
+    else mesh.notify(coordinator, { type: 'release', shard, placementId, end })
+  }
+
+  private _toOutcome (reply: PeerReply | undefined, release: (end: PlacementEnd) => void): SlotOutcome {
+    if (reply?.type === 'refused') return reply
+    if (reply?.type !== 'placed') return { type: 'unavailable', detail: reply?.type === 'unavailable' ? reply.detail : 'the coordinator did not reply' }
+    const worker = this._options.registry.find(reply.workerId)
+    if (worker !== undefined && !worker.isDraining) return { type: 'placed', worker, release }
+    release({})
+    return { type: 'unavailable', detail: 'the assigned worker is not known here' }
+  }
+}
+
+function createUnavailable (detail: string): SlotRequest {
+  return { outcome: Promise.resolve({ type: 'unavailable', detail }), cancel: () => {} }
+}
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -1,5 +1,5 @@
 /** One attempt to have a worker run a request; updates the worker's statistics with its result. */
-import { AttemptOutcome, type PromptPart, type Route, type WorkerRegistration } from '@trefoilshunt/core'
+import { AttemptOutcome, type PlacementEnd, type PromptPart, type Route, type WorkerRegistration } from '@trefoilshunt/core'
 import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerCall } from '../../common/routed/workerClient.js'
 import { steadyNowMs } from '../steadyClock.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
@@ -17,6 +17,8 @@
   worker: WorkerRegistration
   prompt: readonly PromptPart[]
   call: WorkerCall
+  /** Called once when the attempt has ended. */
+  onReleased?: (end: PlacementEnd) => void
   listener: Omit<IWorkerCallListener, 'onFailed'> & { onFailed: (outcome: AttemptOutcome, detail: string) => void }
 }
 
@@ -32,6 +34,8 @@
   private readonly _startedMs = steadyNowMs()
   private _openCall: IOpenWorkerCall | undefined
   private _noResponseTimer: NodeJS.Timeout | undefined
+  /** Highest severity of the failures so far; 0 without any. */
+  private _failureSeverity = 0
 
   constructor (private readonly _options: WorkerAttemptOptions) {
     const { dependencies, route, worker, prompt, call, listener } = _options
@@ -93,8 +97,8 @@
   recordAnswer (status: number, events: number): void {
     const { durations } = this._options.dependencies
     if (status >= FIRST_SERVER_ERROR_STATUS) {
-      this._end()
       this._recordFailure(ANSWERED_SEVERITY)
+      this._end()
     } else {
       this._end(durations.record(this._options.route, steadyNowMs() - this._startedMs, events))
     }
@@ -102,24 +106,27 @@
 
   private _fail (failure: CallFailure): void {
     this._openCall = undefined
-    this._end()
     const { dependencies, worker, listener } = this._options
     const outcome = outcomeOf(failure)
     if (failure.type === 'refused' && failure.isMisdirected) {
       dependencies.registry.markMisdirected(worker.workerId, steadyNowMs())
+      this._failureSeverity = 1
       dependencies.write('workerDenied', { worker: worker.workerId, address: worker.address })
     } else {
       this._recordFailure(outcome === AttemptOutcome.Refused ? ANSWERED_SEVERITY : 1)
     }
+    this._end()
     listener.onFailed(outcome, failure.detail)
   }
 
   private _end (durationRatio?: number): void {
     clearTimeout(this._noResponseTimer)
     this._options.dependencies.statistics.endRequest(this.worker.workerId, durationRatio)
+    this._options.onReleased?.({ durationRatio, failureSeverity: this._failureSeverity === 0 ? undefined : this._failureSeverity })
   }
 
   private _recordFailure (severity: number): void {
+    this._failureSeverity = Math.max(this._failureSeverity, severity)
     this._options.dependencies.statistics.recordFailure(this.worker.workerId, steadyNowMs(), severity)
   }
 }
--- a/packages/node/test/node/routed/nodeDirectory.test.ts
+++ b/packages/node/test/node/routed/nodeDirectory.test.ts
@@ -10,7 +10,7 @@
 }
 
 function createStatus (node: string, fields: Partial<NodeStatus> = {}): NodeStatus {
-  return { type: 'status', from: createAddress(node), periodMs: PERIOD_MS, isReady: true, isDraining: false, owned: [], documentVersion: 1, logSilenceMs: 0, load: {}, ...fields }
+  return { type: 'status', from: createAddress(node), periodMs: PERIOD_MS, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs: 0, load: {}, ...fields }
 }
 
 function createDirectory (clock: { nowMs: number }): NodeDirectory {
--- a/packages/node/test/node/routed/peerMesh.test.ts
+++ b/packages/node/test/node/routed/peerMesh.test.ts
@@ -25,7 +25,7 @@
 }
 
 function createStatus (from: NodeAddress): NodeStatus {
-  return { type: 'status', from, periodMs: 200, isReady: true, isDraining: false, owned: [], documentVersion: 1, logSilenceMs: 0, load: {} }
+  return { type: 'status', from, periodMs: 200, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs: 0, load: {} }
 }
 
 test('the list of peers is sent with the first status of a connection, and after changes at most once per period', async () => {
--- a/packages/standins/src/node/endlessServer.ts
+++ b/packages/standins/src/node/endlessServer.ts
@@ -1,6 +1,5 @@
 /** A server in trouble: answers each request with bytes without end, until its caller closes the connection. */
-import { createServer, type Server, type Socket } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net'
 
 const BLOCK_BYTES = 16 * 1024
 
