Programs of lower ranks begin only while those in progress leave room

A program holds a slot two thirds of its time, so a burst of first turns is paid for by the next turns of all others; retries of what failed kept the load up after the burst.

Change: below the most urgent rank, a first turn waits a quarter of its objective and is then refused as not run, with a time to return, while programs in progress (open turns, waiting turns and pauses) exceed 1.2 for each slot. A program that has waited longer than its objective can hardly finish in time any more: it begins only below 0.9, after those that can, and may wait instead of being refused again.

--- a/packages/core/src/common/workers/servicePlacement.ts
+++ b/packages/core/src/common/workers/servicePlacement.ts
@@ -69,8 +69,8 @@
 
 /** Default options. */
 export const DEFAULT_SERVICE_PLACEMENT: ServicePlacementOptions = {
-  maxProgramsPerSlot: Number.POSITIVE_INFINITY,
-  maxProgramsPerSlotIfDelayed: Number.POSITIVE_INFINITY,
+  maxProgramsPerSlot: 1.2,
+  maxProgramsPerSlotIfDelayed: 0.9,
   pauseMs: 400,
   queuePerWorker: 2,
   beginWaitShare: 0.25,
--- a/packages/core/test/common/workers/servicePlacement.test.ts
+++ b/packages/core/test/common/workers/servicePlacement.test.ts
@@ -83,6 +83,21 @@
   assert.equal(placement.decideQueued(service, DEFAULT_SERVICE_PLACEMENT.maxWaitMs).map(({ placementId, type }) => `${placementId} ${type}`), ['begun refused'])
 })
 
+test('programs of a lower rank do not begin while those in progress need the slots for their next turns', () => {
+  const service = createService(2)
+  const placement = createPlacement()
+  for (const id of ['a', 'b', 'c', 'd']) {
+    placement.place(createRequest(id, { programId: id }), service, 0)
+    placement.release(id, {}, service, 100)
+    placement.place(createRequest(`${id}2`, { programId: `${id}2` }), service, 100)
+    placement.release(`${id}2`, {}, service, 120)
+  }
+  assert.equal(placement.place(createRequest('new', { hasBegun: false }), service, 130), [], 'all slots are free, but eight programs pause')
+  assert.equal(placement.place(createRequest('urgent', { hasBegun: false, priority: 0 }), service, 130).map(({ type }) => type), ['placed'])
+  const later = 130 + DEFAULT_SERVICE_PLACEMENT.pauseMs + 1
+  assert.equal(placement.place(createRequest('later', { hasBegun: false }), service, later).map(({ type }) => type).includes('placed'), true)
+})
+
 test('a failing worker is avoided after the failures that any node reports', () => {
   const service = createService(2)
   const placement = createPlacement()
