Routed calls: the selection of workers is a class of its own; a slot assigned to an ended request is returned

While moving it, a gap showed: a call could end between the assignment of its slot and the continuation that uses it, and then sent the request although nobody waited, and kept the slot until it expired.

--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -1,14 +1,14 @@
 /** Handles one routed request: obtains the grant of its turn, sends it to workers, forwards the answer and reports the turn's end to the owner. */
 import {
-  AttemptOutcome, type GrantRequest, type LogFields, type NextAction, resolveNextAction, type Route, type RoutedService, RouteKind, type TurnEnd, type WorkerRegistration
+  AttemptOutcome, type GrantRequest, type LogFields, type NextAction, type PlacementEnd, resolveNextAction, type Route, type RoutedService, RouteKind, type TurnEnd, type WorkerRegistration
 } from '@trefoilshunt/core'
 import { type IAnswerSink, type Refusal, RefusalReason, type RoutedRequest } from '../../common/routed/routedRequest.js'
 import { steadyNowMs } from '../steadyClock.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
-import type { Slot, SlotRequest } from './slotClient.js'
 import type { GrantedTurn, GrantOutcome } from './turnService.js'
 import { WorkerAttempt } from './workerAttempt.js'
+import { WorkerSelector } from './workerSelector.js'
 
 /** Retry-after of requests that were not run, for example because no worker had a free slot; about the duration of one short request. */
 const BUSY_RETRY_AFTER_MS = 120
@@ -28,11 +28,11 @@
   private readonly _expiresAtMs: number
   private readonly _excluded = new Set<string>()
   private readonly _relay: AnswerRelay
+  private readonly _selector: WorkerSelector
   private _expiryTimer: NodeJS.Timeout | undefined
   private _service: RoutedService | undefined
   private _grant: GrantedTurn | undefined
   private _latestAttempt: WorkerAttempt | undefined
-  private _slotRequest: SlotRequest | undefined
   private _isDone = false
   /** Requests in flight at the worker of the latest attempt, as this node knew them when it chose the worker. */
   private _believedInFlight = 0
@@ -48,6 +48,7 @@
   ) {
     const maxWaitMs = Math.min(_request.deadlineMs ?? Number.POSITIVE_INFINITY, _route.timeoutMs)
     this._expiresAtMs = _request.arrivedAtMs + maxWaitMs
+    this._selector = new WorkerSelector({ dependencies: _dependencies, request: _request, route: _route, log: (event, fields) => this._log(event, fields) })
     this._relay = new AnswerRelay(_sink, {
       lastEventId: _request.lastEventId,
       retainsOutput: _route.retainsTurns,
@@ -127,84 +128,27 @@
       this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'the request crashed several workers', RefusalReason.Quarantined)
       return
     }
-    const service = this._drawEngineService()
-    if (service === undefined) this._sendToChosenWorker()
-    else void this._requestSlot(service)
-  }
-
-  /** The service for this attempt, if its workers are model engines, whose slots are assigned by a coordinator. */
-  private _drawEngineService (): RoutedService | undefined {
-    const { routes } = this._dependencies
-    const [name] = routes.drawServices(this._route)
-    const service = name === undefined ? undefined : routes.findService(name)
-    return service?.engine === undefined ? undefined : service
-  }
-
-  private async _requestSlot (service: RoutedService): Promise<void> {
-    const { slots, durations, metrics, zone } = this._dependencies
-    const startedMs = steadyNowMs()
-    this._slotRequest = slots.request(service.name, {
-      programId: this._request.program?.programId,
-      hasBegun: this._hasBegun,
-      priority: this._route.priority,
-      objectiveMs: this._route.objectiveMs,
-      durationMs: durations.expectedMs(this._route),
-      timeLeftMs: this._timeLeftMs,
-      finishMs: this._request.program?.finishMs,
-      zone,
-      prompt: this._request.prompt,
-      cached: this._grant?.cached ?? [],
-      excluded: [...this._excluded]
+    const state = { cached: this._grant?.cached ?? [], excluded: this._excluded, hasBegun: this._hasBegun, timeLeftMs: this._timeLeftMs }
+    this._selector.select(state, selection => {
+      const next: NextAction = { type: this._mayHaveRun ? 'unknown' : 'notRun' }
+      switch (selection.type) {
+        case 'selected':
+          this._service = selection.service
+          return this._send(selection.worker, selection.release)
+        case 'refused': return this._endWithoutAnswer(next, 'no slot is free in time', RefusalReason.Overloaded, selection.retryAfterMs)
+        case 'noWorker': return this._endWithoutAnswer(next, 'no worker is available', RefusalReason.NoWorker)
+      }
     })
-    const outcome = await this._slotRequest.outcome
-    if (outcome === undefined) return
-    const waitedMs = steadyNowMs() - startedMs
-    metrics.observeMs('slot_wait_ms', waitedMs, { outcome: outcome.type })
-    if (outcome.type !== 'placed') this._log('slotNotAssigned', { outcome: outcome.type, waitedMs: Math.round(waitedMs), detail: outcome.type === 'unavailable' ? outcome.detail : undefined })
-    if (outcome.type === 'placed') {
-      this._service = service
-      this._send(outcome.worker, outcome)
-    } else if (outcome.type === 'unavailable') {
-      this._sendToChosenWorker()
-    } else {
-      this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'no slot is free in time', RefusalReason.Overloaded, outcome.retryAfterMs)
-    }
-  }
-
-  private _sendToChosenWorker (): void {
-    const worker = this._chooseWorker()
-    if (worker !== undefined) this._send(worker)
-    else this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'no worker is available', RefusalReason.NoWorker)
-  }
-
-  private _chooseWorker (): WorkerRegistration | undefined {
-    const { routes, registry, choice, durations, workers, zone } = this._dependencies
-    const nowMs = steadyNowMs()
-    for (const name of routes.drawServices(this._route)) {
-      this._service = routes.findService(name)
-      const worker = choice.chooseWorker({
-        candidates: registry.workersOf(name, nowMs),
-        excluded: this._excluded,
-        zone,
-        durationMs: durations.expectedMs(this._route),
-        prompt: this._request.prompt,
-        cached: this._grant?.cached ?? [],
-        isConnected: worker => workers.hasIdleConnection(worker.address),
-        nowMs
-      })
-      if (worker !== undefined) return worker
-    }
-    return undefined
   }
 
-  private _send (worker: WorkerRegistration, slot?: Slot): void {
+  private _send (worker: WorkerRegistration, release?: (end: PlacementEnd) => void): void {
     const { nodeCount, statistics, loadAgeMs } = this._dependencies
     this._believedInFlight = statistics.inFlightOf(worker.workerId)
     this._log('workerChosen', {
       worker: worker.workerId,
       zone: worker.zone,
       attempt: this._sentCount + this._unsentCount + 1,
-      isCoordinated: slot !== undefined,
+      isCoordinated: release !== undefined,
       inFlight: this._believedInFlight,
       slots: worker.slots,
       loadAgeMs: Math.round(loadAgeMs()),
@@ -220,7 +164,7 @@
       route: this._route,
       worker,
       prompt: request.prompt,
-      onReleased: end => slot?.release(end),
+      onReleased: release,
       call: {
         workerId: worker.workerId,
         address: worker.address,
@@ -389,7 +333,7 @@
 
   private _endCall (outcome: string, status: number, reason?: string, detail?: string): void {
     this._isDone = true
-    this._slotRequest?.cancel()
+    this._selector.cancel()
     this._relay.stop()
     clearTimeout(this._expiryTimer)
     const { firstByteAtMs, eventCount } = this._relay
--- /dev/null
+++ b/packages/node/src/node/routed/workerSelector.ts
@@ -0,0 +1,123 @@
+/** Selects the worker of each attempt of one request: model engines by the coordinator of their service, other workers by this node. */
+import type { CachedPart, LogFields, PlacementEnd, Route, RoutedService, WorkerRegistration } from '@trefoilshunt/core'
+import type { RoutedRequest } from '../../common/routed/routedRequest.js'
+import { steadyNowMs } from '../steadyClock.js'
+import type { RoutedCallDependencies } from './routedCallDependencies.js'
+import type { SlotOutcome, SlotRequest } from './slotClient.js'
+
+/** What is known of the request when an attempt begins. */
+export interface AttemptState {
+  /** Parts of the prompt that workers are known to cache. */
+  cached: readonly CachedPart[]
+  /** Ids of workers that must not be selected. */
+  excluded: ReadonlySet<string>
+  /** True for a turn of a program that has completed one. */
+  hasBegun: boolean
+  timeLeftMs: number
+}
+
+export type WorkerSelection =
+  /** `release` must be called at the attempt's end if it is present. */
+  | { type: 'selected', worker: WorkerRegistration, service: RoutedService | undefined, release?: (end: PlacementEnd) => void }
+  /** All slots are taken, for longer than the request can wait. */
+  | { type: 'refused', retryAfterMs: number }
+  | { type: 'noWorker' }
+
+export interface WorkerSelectorOptions {
+  dependencies: RoutedCallDependencies
+  request: RoutedRequest
+  route: Route
+  log: (event: string, fields: LogFields) => void
+}
+
+/**
+ * @example
+ * selector.select({ cached: [], excluded: new Set(), hasBegun: false, timeLeftMs: 3_000 }, selection => send(selection))
+ * selector.cancel() // nothing is selected any more
+ */
+export class WorkerSelector {
+  private _slotRequest: SlotRequest | undefined
+  private _isCancelled = false
+
+  constructor (private readonly _options: WorkerSelectorOptions) {}
+
+  /** Calls `onSelected` once, at once for workers that this node selects by itself, or never after `cancel`. */
+  select (state: AttemptState, onSelected: (selection: WorkerSelection) => void): void {
+    const service = this._drawEngineService()
+    if (service === undefined) onSelected(this._selectHere(state))
+    else void this._selectByCoordinator(service, state, onSelected)
+  }
+
+  /** Withdraws a request for a slot. */
+  cancel (): void {
+    this._isCancelled = true
+    this._slotRequest?.cancel()
+  }
+
+  /** The service for this attempt if its workers are model engines. */
+  private _drawEngineService (): RoutedService | undefined {
+    const { dependencies: { routes }, route } = this._options
+    const [name] = routes.drawServices(route)
+    const service = name === undefined ? undefined : routes.findService(name)
+    return service?.engine === undefined ? undefined : service
+  }
+
+  private async _selectByCoordinator (service: RoutedService, state: AttemptState, onSelected: (selection: WorkerSelection) => void): Promise<void> {
+    const startedMs = steadyNowMs()
+    this._slotRequest = this._requestSlot(service, state)
+    const outcome = await this._slotRequest.outcome
+    if (outcome === undefined) return
+    this._record(outcome, steadyNowMs() - startedMs)
+    if (this._isCancelled) {
+      if (outcome.type === 'placed') outcome.release({})
+      return
+    }
+    switch (outcome.type) {
+      case 'placed': return onSelected({ type: 'selected', worker: outcome.worker, service, release: outcome.release })
+      case 'refused': return onSelected(outcome)
+      case 'unavailable': return onSelected(this._selectHere(state))
+    }
+  }
+
+  private _requestSlot (service: RoutedService, { cached, excluded, hasBegun, timeLeftMs }: AttemptState): SlotRequest {
+    const { dependencies: { slots, durations, zone }, request: { program, prompt }, route } = this._options
+    return slots.request(service.name, {
+      programId: program?.programId,
+      hasBegun,
+      priority: route.priority,
+      objectiveMs: route.objectiveMs,
+      durationMs: durations.expectedMs(route),
+      timeLeftMs,
+      finishMs: program?.finishMs,
+      zone,
+      prompt,
+      cached: [...cached],
+      excluded: [...excluded]
+    })
+  }
+
+  private _record (outcome: SlotOutcome, waitedMs: number): void {
+    this._options.dependencies.metrics.observeMs('slot_wait_ms', waitedMs, { outcome: outcome.type })
+    if (outcome.type === 'placed') return
+    this._options.log('slotNotAssigned', { outcome: outcome.type, waitedMs: Math.round(waitedMs), detail: outcome.type === 'unavailable' ? outcome.detail : undefined })
+  }
+
+  private _selectHere ({ cached, excluded }: AttemptState): WorkerSelection {
+    const { dependencies: { routes, registry, choice, durations, workers, zone }, request, route } = this._options
+    const nowMs = steadyNowMs()
+    for (const name of routes.drawServices(route)) {
+      const worker = choice.chooseWorker({
+        candidates: registry.workersOf(name, nowMs),
+        excluded,
+        zone,
+        durationMs: durations.expectedMs(route),
+        prompt: request.prompt,
+        cached,
+        isConnected: ({ address }) => workers.hasIdleConnection(address),
+        nowMs
+      })
+      if (worker !== undefined) return { type: 'selected', worker, service: routes.findService(name) }
+    }
+    return { type: 'noWorker' }
+  }
+}
