Own interface: a stream behind a caller that does not read is cut off at 1 MiB

A node buffered without limit what an engine streams to a caller that does not read; with an engine that sends without end the memory went with it.

Change: more than 1 MiB that the caller has not read closes its connection, which the program survives as any disconnect.

Evidence: packages/node/test/node/callerServer.test.ts fails before (not closed within 3 s).

--- a/packages/node/src/node/callerServer.ts
+++ b/packages/node/src/node/callerServer.ts
@@ -12,6 +12,8 @@
 const MAX_AUDIT_LIMIT = 500
 const MAX_PROGRAM_ID_CHARACTERS = 128
 const SOCKET_IDLE_MS = 60_000
+/** A caller for whom more of a stream is buffered reads too slowly; its connection is closed. */
+const MAX_UNREAD_BYTES = 1024 * 1024
 
 /** Dependencies of the caller server. */
 export interface CallerServerOptions {
@@ -158,6 +160,7 @@
       if (reply.type === 'chunk') {
         if (!response.headersSent) response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store' })
         response.write(toChunkEvent(reply.text, reply.tokens))
+        if (response.writableLength > MAX_UNREAD_BYTES) response.destroy()
         return
       }
       isOver = true
