--- a/packages/core/test/common/workers/load/coordinatedPlacement.ts
+++ b/packages/core/test/common/workers/load/coordinatedPlacement.ts
@@ -9,7 +9,7 @@
 const DEADLINE_MS = 3_000
 const DECISION_PERIOD_MS = 20
 
-export function createCoordinatedPlacement ({ simulation, random, workers, engines }: SimulatedFleet): StartAttempt {
+export function createCoordinatedPlacement ({ events, random, workers, engines }: SimulatedFleet): StartAttempt {
   const service = { workers, cacheTokens: GROWN_ENGINE.kvTokens }
   const coordinator = new ServicePlacement(new SeededRandom(1))
   const sessions = new PromptCacheIndex()
@@ -18,11 +18,11 @@
   const reply = (placement: SlotPlacement): void => {
     const onPlacement = waiting.get(placement.placementId)
     waiting.delete(placement.placementId)
-    simulation.schedule(drawWayMs(random), () => onPlacement?.(placement))
+    events.after(drawWayMs(random), () => onPlacement?.(placement))
   }
   const decide = (): void => {
-    coordinator.decideQueued(service, simulation.nowMs).forEach(reply)
-    simulation.schedule(DECISION_PERIOD_MS, decide)
+    coordinator.decideQueued(service, events.nowMs()).forEach(reply)
+    events.after(DECISION_PERIOD_MS, decide)
   }
   decide()
   return attempt => {
@@ -30,7 +30,7 @@
     const { prompt } = attempt
     let isOpen = true
     const release = (end: PlacementEnd): void => {
-      simulation.schedule(drawWayMs(random), () => coordinator.release(placementId, end, service, simulation.nowMs).forEach(reply))
+      events.after(drawWayMs(random), () => coordinator.release(placementId, end, service, events.nowMs()).forEach(reply))
     }
     const close = (end: PlacementEnd, then: () => void): void => {
       if (!isOpen) return
@@ -58,9 +58,9 @@
       }
       engine = engines.get(placement.workerId)
       sessions.recordPrompt(placement.workerId, prompt)
-      simulation.schedule(drawWayMs(random), () => { if (isOpen) engine?.submit(request) })
+      events.after(drawWayMs(random), () => { if (isOpen) engine?.submit(request) })
     })
-    simulation.schedule(drawWayMs(random), () => {
+    events.after(drawWayMs(random), () => {
       coordinator.place({
         placementId,
         programId: attempt.programId,
@@ -74,7 +74,7 @@
         prompt,
         cached: sessions.find(prompt),
         excluded: []
-      }, service, simulation.nowMs).forEach(reply)
+      }, service, events.nowMs()).forEach(reply)
     })
     return () => close({}, () => engine?.cancel(request))
   }
--- a/packages/core/test/common/workers/load/grownFleet.ts
+++ b/packages/core/test/common/workers/load/grownFleet.ts
@@ -3,7 +3,7 @@
 import type { SimulatedFleet } from './localPlacement.js'
 import { type ClassResult, CONSULT, ProgramLoad, REMEASURE, type StartAttempt } from './programLoad.js'
 import { GROWN_ENGINE, SimulatedEngine } from './simulatedEngine.js'
-import { Simulation } from './simulation.js'
+import { EventQueue } from '@trefoilshunt/testing'
 
 const ENGINE_COUNT = 31
 const LOAD_MS = 20_000
@@ -34,16 +34,16 @@
  * runGrownFleet({ seed: 1, nodeCount: 74, createPlacement: createCoordinatedPlacement }).remeasure.earnedShare
  */
 export function runGrownFleet ({ seed, nodeCount, createPlacement, hasBursts = true }: GrownFleetOptions): GrownFleetResult {
-  const simulation = new Simulation()
+  const events = new EventQueue()
   const random = new SeededRandom(seed)
   const workers = Array.from({ length: ENGINE_COUNT }, (_, index): WorkerRegistration => ({
     workerId: `w${index}`, service: 's', address: '127.0.0.1:1', zone: 'a', slots: GROWN_ENGINE.slots, isDraining: false, startedAtMs: 1, coldLeftMs: 0
   }))
-  const engines = new Map(workers.map(({ workerId }) => [workerId, new SimulatedEngine(simulation, GROWN_ENGINE)]))
-  const load = new ProgramLoad(simulation, random, createPlacement({ simulation, random, workers, engines, nodeCount }))
+  const engines = new Map(workers.map(({ workerId }) => [workerId, new SimulatedEngine(events, GROWN_ENGINE)]))
+  const load = new ProgramLoad(events, random, createPlacement({ events, random, workers, engines, nodeCount }))
   load.run(CONSULT, LOAD_MS, hasBursts ? CONSULT_BURST : undefined)
   load.run(REMEASURE, LOAD_MS, hasBursts ? REMEASURE_BURST : undefined)
-  simulation.run(LOAD_MS + REST_MS)
+  while (events.runNext(LOAD_MS + REST_MS)) { /* until nothing is due */ }
   const sum = (valueOf: (engine: SimulatedEngine) => number): number => [...engines.values()].reduce((total, engine) => total + valueOf(engine), 0)
   return {
     consult: load.resultOf(CONSULT),
--- a/packages/core/test/common/workers/load/localPlacement.ts
+++ b/packages/core/test/common/workers/load/localPlacement.ts
@@ -2,7 +2,7 @@
 import { DEFAULT_WORKER_CHOICE, type IRandom, PromptCacheIndex, SeededRandom, WorkerChoice, type WorkerRegistration, WorkerStatistics } from '@trefoilshunt/core'
 import type { StartAttempt } from './programLoad.js'
 import type { EngineRequest, SimulatedEngine } from './simulatedEngine.js'
-import type { Simulation } from './simulation.js'
+import type { EventQueue } from '@trefoilshunt/testing'
 
 /** Retry-after of a refusal by a full worker. */
 const BUSY_RETRY_AFTER_MS = 120
@@ -10,7 +10,7 @@
 const REPORT_MS_PER_NODE = 16
 
 export interface SimulatedFleet {
-  simulation: Simulation
+  events: EventQueue
   random: IRandom
   workers: readonly WorkerRegistration[]
   engines: ReadonlyMap<string, SimulatedEngine>
@@ -22,7 +22,7 @@
   return random.next() < 1 / 3 ? 0.4 : 1.6
 }
 
-export function createLocalPlacement ({ simulation, random, workers, engines, nodeCount }: SimulatedFleet): StartAttempt {
+export function createLocalPlacement ({ events, random, workers, engines, nodeCount }: SimulatedFleet): StartAttempt {
   const nodes = Array.from({ length: nodeCount }, (_, index) => {
     const statistics = new WorkerStatistics()
     return { statistics, choice: new WorkerChoice(DEFAULT_WORKER_CHOICE, statistics, new SeededRandom(index)) }
@@ -34,14 +34,14 @@
       for (const peer of nodes) {
         if (peer.statistics !== statistics) peer.statistics.setPeerLoad(String(index), load)
       }
-      simulation.schedule(REPORT_MS_PER_NODE * nodeCount, report)
+      events.after(REPORT_MS_PER_NODE * nodeCount, report)
     }
-    simulation.schedule(REPORT_MS_PER_NODE * nodeCount * random.next(), report)
+    events.after(REPORT_MS_PER_NODE * nodeCount * random.next(), report)
   }
   return attempt => {
     const { statistics, choice } = nodes[random.nextInt(nodeCount)]
     const { prompt } = attempt
-    const worker = choice.chooseWorker({ candidates: workers, excluded: new Set(), zone: 'a', durationMs: EXPECTED_MS, prompt, cached: sessions.find(prompt), isConnected: () => true, nowMs: simulation.nowMs }) as WorkerRegistration
+    const worker = choice.chooseWorker({ candidates: workers, excluded: new Set(), zone: 'a', durationMs: EXPECTED_MS, prompt, cached: sessions.find(prompt), isConnected: () => true, nowMs: events.nowMs() }) as WorkerRegistration
     const engine = engines.get(worker.workerId) as SimulatedEngine
     statistics.beginRequest(worker.workerId)
     statistics.recordPrompt(worker.workerId, prompt)
@@ -62,11 +62,11 @@
         attempt.onEnd()
       }),
       onRefused: () => end(() => {
-        statistics.recordFailure(worker.workerId, simulation.nowMs, 0.5)
+        statistics.recordFailure(worker.workerId, events.nowMs(), 0.5)
         attempt.onRefused(BUSY_RETRY_AFTER_MS)
       })
     }
-    simulation.schedule(drawWayMs(random), () => { if (isOpen) engine.submit(request) })
+    events.after(drawWayMs(random), () => { if (isOpen) engine.submit(request) })
     return () => end(() => engine.cancel(request))
   }
 }
--- a/packages/core/test/common/workers/load/programLoad.ts
+++ b/packages/core/test/common/workers/load/programLoad.ts
@@ -1,6 +1,6 @@
 /** Callers that run programs of two classes, with tools and sub-agents between the turns, in virtual time. */
 import type { IRandom, PromptPart } from '@trefoilshunt/core'
-import type { Simulation } from './simulation.js'
+import type { EventQueue } from '@trefoilshunt/testing'
 
 export interface ProgramClass {
   name: string
@@ -90,16 +90,16 @@
   private _lastId = 0
 
   constructor (
-    private readonly _simulation: Simulation,
+    private readonly _events: EventQueue,
     private readonly _random: IRandom,
     private readonly _startAttempt: StartAttempt
   ) {}
 
   /** Starts programs of the class at its rate, multiplied by `burst.factor` from `burst.fromMs` to `burst.toMs`. */
   run (programClass: ProgramClass, untilMs: number, burst?: { factor: number, fromMs: number, toMs: number }): void {
-    const factor = burst !== undefined && this._simulation.nowMs >= burst.fromMs && this._simulation.nowMs < burst.toMs ? burst.factor : 1
-    this._simulation.schedule(this._random.nextExponential(1_000 / (programClass.programsPerS * factor)), () => {
-      if (this._simulation.nowMs >= untilMs) return
+    const factor = burst !== undefined && this._events.nowMs() >= burst.fromMs && this._events.nowMs() < burst.toMs ? burst.factor : 1
+    this._events.after(this._random.nextExponential(1_000 / (programClass.programsPerS * factor)), () => {
+      if (this._events.nowMs() >= untilMs) return
       this._startProgram(programClass)
       this.run(programClass, untilMs, burst)
     })
@@ -116,7 +116,7 @@
       id: `p${++this._lastId}`,
       class: programClass,
       shared: this._drawSharedPrompt(programClass),
-      startedAtMs: this._simulation.nowMs,
+      startedAtMs: this._events.nowMs(),
       idleMs,
       aimMs: programClass.aimRatio * idleMs + programClass.objectiveMs,
       isDone: false,
@@ -165,7 +165,7 @@
     const ownTokens = historyTokens + program.class.inputTokens
     this._sendTurn(program, [program.shared, { id: sessionId, tokens: ownTokens }], turn.eventCount, SENDS_PER_TURN, () => {
       const tokens = ownTokens + turn.eventCount * TOKENS_PER_EVENT
-      this._simulation.schedule(turn.toolsMs + turn.thinkMs, () => {
+      this._events.after(turn.toolsMs + turn.thinkMs, () => {
         this._runSubAgents(program, turn.subAgents, tokens, () => this._runLine(program, sessionId, rest, tokens, onDone))
       })
     })
@@ -187,9 +187,9 @@
 
   private _sendTurn (program: Program, prompt: PromptPart[], eventCount: number, sendsLeft: number, onDone: () => void): void {
     if (program.isDone) return
-    this._sendAttempt(program, prompt, eventCount, ATTEMPTS_PER_SEND, this._simulation.nowMs + DEADLINE_MS, onDone, () => {
+    this._sendAttempt(program, prompt, eventCount, ATTEMPTS_PER_SEND, this._events.nowMs() + DEADLINE_MS, onDone, () => {
       if (sendsLeft <= 1) this._finish(program, false)
-      else this._simulation.schedule(100 + 300 * this._random.next(), () => this._sendTurn(program, prompt, eventCount, sendsLeft - 1, onDone))
+      else this._events.after(100 + 300 * this._random.next(), () => this._sendTurn(program, prompt, eventCount, sendsLeft - 1, onDone))
     })
   }
 
@@ -209,31 +209,31 @@
       isFirstTurn: program.completedTurns === 0,
       prompt,
       outputTokens: eventCount * TOKENS_PER_EVENT,
-      finishMs: program.startedAtMs + program.aimMs - this._simulation.nowMs,
+      finishMs: program.startedAtMs + program.aimMs - this._events.nowMs(),
       onFirstToken: () => { hasBegun = true },
       onEnd: () => end(() => {
         program.completedTurns++
         onDone()
       }),
       onRefused: retryAfterMs => end(() => {
-        const timeLeftMs = deadlineAtMs - this._simulation.nowMs
+        const timeLeftMs = deadlineAtMs - this._events.nowMs()
         if (attemptsLeft <= 1 || retryAfterMs > timeLeftMs / 3) onFailed()
-        else this._simulation.schedule(retryAfterMs, () => this._sendAttempt(program, prompt, eventCount, attemptsLeft - 1, deadlineAtMs, onDone, onFailed))
+        else this._events.after(retryAfterMs, () => this._sendAttempt(program, prompt, eventCount, attemptsLeft - 1, deadlineAtMs, onDone, onFailed))
       })
     })
     const giveUp = (): void => end(() => {
       cancel()
       onFailed()
     })
-    this._simulation.schedule(FIRST_EVENT_PATIENCE_MS, () => { if (!hasBegun) giveUp() })
-    this._simulation.schedule(Math.max(0, deadlineAtMs - this._simulation.nowMs), giveUp)
+    this._events.after(FIRST_EVENT_PATIENCE_MS, () => { if (!hasBegun) giveUp() })
+    this._events.after(Math.max(0, deadlineAtMs - this._events.nowMs()), giveUp)
   }
 
   private _finish (program: Program, isComplete: boolean): void {
     if (program.isDone) return
     program.isDone = true
     const result = this.resultOf(program.class)
-    const tookMs = this._simulation.nowMs - program.startedAtMs
+    const tookMs = this._events.nowMs() - program.startedAtMs
     if (!isComplete || tookMs > 2 * program.aimMs) result.failed++
     else if (tookMs <= program.aimMs) result.inAim++
     else result.late++
--- a/packages/core/test/common/workers/load/simulatedEngine.ts
+++ b/packages/core/test/common/workers/load/simulatedEngine.ts
@@ -1,6 +1,6 @@
 /** A model engine with continuous batching, a bounded queue and a prefix cache, in virtual time. */
 import type { PromptPart } from '@trefoilshunt/core'
-import type { Simulation } from './simulation.js'
+import type { EventQueue } from '@trefoilshunt/testing'
 
 export interface EngineModel {
   slots: number
@@ -47,7 +47,7 @@
   private readonly _cache = new Map<string, number>()
   private _isStepping = false
 
-  constructor (private readonly _simulation: Simulation, private readonly _model: EngineModel) {}
+  constructor (private readonly _events: EventQueue, private readonly _model: EngineModel) {}
 
   submit (request: EngineRequest): void {
     if (this._queue.length >= this._model.queueLength) {
@@ -72,7 +72,7 @@
   private _start (): void {
     if (this._isStepping) return
     this._isStepping = true
-    this._simulation.schedule(0, () => this._step())
+    this._events.after(0, () => this._step())
   }
 
   private _step (): void {
@@ -85,7 +85,7 @@
     const reading = this._running.find(({ missingTokens }) => missingTokens > 0)
     const chunk = Math.min(chunkTokens, reading?.missingTokens ?? 0)
     const decoding = this._running.filter(({ missingTokens }) => missingTokens <= 0)
-    this._simulation.schedule(chunk / prefillTokensPerMs + stepMs + stepMsPerRequest * decoding.length, () => {
+    this._events.after(chunk / prefillTokensPerMs + stepMs + stepMsPerRequest * decoding.length, () => {
       if (reading !== undefined) reading.missingTokens -= chunk
       for (const entry of decoding) this._produceToken(entry)
       this._step()
