Streams: an answer with more events than its turn may generate is broken off

What callers saw: nothing yet; the users ask for bounds on bytes without end, complete events included. Until the deadline every event was passed on, so a worker in trouble could hand a program many times its budget.

Change: the attempts of a request may bring the events that its maximum of tokens fills, and one more; beyond that the attempt fails as broken and counts against the worker.

--- a/packages/node/src/node/routed/answerRelay.ts
+++ b/packages/node/src/node/routed/answerRelay.ts
@@ -36,6 +36,8 @@
 export class AnswerRelay {
   private readonly _deferredActions: Array<() => void> = []
   private readonly _forwardedData: string[] = []
+  private _maxEvents = Number.POSITIVE_INFINITY
+  private _receivedEvents = 0
   private _outputBytes = 0
   private _heldBytes = 0
   private _isSinkFull = false
@@ -124,8 +126,9 @@
     else this._deferredActions.push(action)
   }
 
-  /** Prepares for the answer of another attempt; what was buffered of an earlier one is discarded. */
-  beginAttempt (): void {
+  /** Prepares for the answer of another attempt; what was buffered of an earlier one is discarded. All attempts together may bring `maxEvents`. */
+  beginAttempt (maxEvents = Number.POSITIVE_INFINITY): void {
+    this._maxEvents = maxEvents
     this._head = undefined
     this._isStream = false
     this._splitter = new EventFrameSplitter()
@@ -172,6 +175,7 @@
 
   private _handleStreamData (bytes: Uint8Array): string | undefined {
     for (const frame of this._splitter.push(bytes)) {
+      if (frame.data !== undefined && ++this._receivedEvents > this._maxEvents) return 'more events than the request may generate'
       if (this._options.retainsOutput === true) this._outputBytes += frame.data?.length ?? 0
       this.whenForwarding(() => this._forwardEvent(frame))
     }
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -158,7 +158,7 @@
       timeLeftMs: Math.round(this._timeLeftMs)
     })
     const request = this._request
-    this._relay.beginAttempt()
+    this._relay.beginAttempt(this._maxEvents)
     this._latestAttempt = new WorkerAttempt({
       dependencies: this._dependencies,
       route: this._route,
@@ -301,6 +301,13 @@
     return this._relay.eventCount * (this._service?.engine?.tokensPerEvent ?? 1)
   }
 
+  /** Events that the request may generate; one more than its tokens fill, as the last one may be a part. */
+  private get _maxEvents (): number | undefined {
+    const { maxTokens } = this._request
+    const tokensPerEvent = this._service?.engine?.tokensPerEvent
+    return maxTokens === 0 || tokensPerEvent === undefined ? undefined : Math.ceil(maxTokens / tokensPerEvent) + 1
+  }
+
   private _createTurnEnd (usedTokens: number): TurnEnd {
     const { program, requestId } = this._request
     const prompt = this._request.prompt.map((part, index, { length }) => index === length - 1 ? { ...part, tokens: part.tokens + usedTokens } : part)
