Slots: placements of a restarted node differ from those of its earlier process

Found by reading: placements were numbered from one at each start. If the coordinator had missed the loss of a node, the first placements of its next process replaced those still open, whose slots then stayed taken for good. Their ids now hold the incarnation. No play has shown it.

--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -175,6 +175,7 @@
       choice: container.resolve<IWorkerChoice>(IWorkerChoice),
       slots: new SlotClient({
         node,
+        incarnation: this._self.incarnation,
         cores: this._cores,
         isReady: () => this.isReady,
         registry: this._registry,
--- a/packages/node/src/node/routed/slotClient.ts
+++ b/packages/node/src/node/routed/slotClient.ts
@@ -35,6 +35,8 @@
 
 export interface SlotClientOptions {
   node: string
+  /** Differs for each start of the node, so that no placement is confused with one of an earlier process. */
+  incarnation: string
   /** Processor cores of this node. */
   cores: number
   /** True if this node may coordinate. */
@@ -65,7 +67,7 @@
     const coordinator = this._coordinatorOf(shard)
     if (coordinator === undefined) return createUnavailable('no coordinator is known')
     if ((this._suspectUntilMs.get(coordinator) ?? 0) > steadyNowMs()) return createUnavailable('the coordinator did not reply')
-    const placementId = `${this._options.node}/${(++this._lastId).toString(36)}`
+    const placementId = `${this._options.node}/${this._options.incarnation}/${(++this._lastId).toString(36)}`
     let isSettled = false
     let settle: (outcome: SlotOutcome | undefined) => void = () => {}
     const outcome = new Promise<SlotOutcome | undefined>(resolve => {
--- a/packages/node/test/node/routed/slotClient.test.ts
+++ b/packages/node/test/node/routed/slotClient.test.ts
@@ -56,7 +56,7 @@
       request: (to: string, request: PeerRequest, { onReply }: { onReply: (reply: PeerReply | undefined) => void }) => deliver(to, request, onReply),
       notify: (to: string, request: PeerRequest) => deliver(to, request, () => {})
     } as unknown as PeerMesh
-    const client = new SlotClient({ node: name, cores: cores[name], isReady: () => true, registry, directory, mesh, coordinator, write: () => {} })
+    const client = new SlotClient({ node: name, incarnation: '1', cores: cores[name], isReady: () => true, registry, directory, mesh, coordinator, write: () => {} })
     nodes.set(name, { name, client, coordinator, directory, receivedCount: 0, isFrozen: false })
   }
   for (const { name, directory } of nodes.values()) {
@@ -153,6 +153,26 @@
   })
 })
 
+test('a node that has restarted does not take over the slots of its earlier process', async () => {
+  await run(async time => {
+    const nodes = createNodes({ a: 1 }, 1)
+    const { client, coordinator } = nodes.get('a') as TestNode
+    const placementIds: string[] = []
+    const original = coordinator.place.bind(coordinator)
+    coordinator.place = (shard, from, request, respond) => {
+      placementIds.push(request.placementId)
+      original(shard, from, request, respond)
+    }
+    await requestSlot(time, nodes.get('a') as TestNode, 10)
+    Object.assign((client as unknown as { _options: { incarnation: string } })._options, { incarnation: '2' })
+    Object.assign(client, { _lastId: 0 })
+    await requestSlot(time, nodes.get('a') as TestNode, 10)
+    assert.is(new Set(placementIds).size, 2)
+    assert.is(coordinator.openCount, 2)
+    coordinator.dispose()
+  })
+})
+
 test('a request that its caller has withdrawn leaves the queue', async () => {
   await run(async time => {
     const nodes = createNodes({ a: 1 }, 1)
