--- a/packages/node/src/node/routed/slotClient.ts
+++ b/packages/node/src/node/routed/slotClient.ts
@@ -27,6 +27,8 @@
 /** `refused`: no slot will be free in time. `unavailable`: no coordinator has decided. */
 export type SlotOutcome = Slot | { type: 'refused', retryAfterMs: number } | { type: 'unavailable', detail: string }
 
+const NO_REPLY: SlotOutcome = { type: 'unavailable', detail: 'the coordinator did not reply' }
+
 /** A request for a slot; the outcome after `cancel` is undefined, and a slot that is assigned nevertheless is returned. */
 export interface SlotRequest {
   outcome: Promise<SlotOutcome | undefined>
@@ -65,44 +67,19 @@
   request (service: string, request: Omit<PlacementRequest, 'placementId'>): SlotRequest {
     const shard = this._shardOf(service, request.programId)
     const coordinator = this._coordinatorOf(shard)
-    if (coordinator === undefined) return createUnavailable('no coordinator is known')
-    if ((this._suspectUntilMs.get(coordinator) ?? 0) > steadyNowMs()) return createUnavailable('the coordinator did not reply')
+    if (coordinator === undefined) return createSettled({ type: 'unavailable', detail: 'no coordinator is known' })
+    if ((this._suspectUntilMs.get(coordinator) ?? 0) > steadyNowMs()) return createSettled(NO_REPLY)
     const placementId = `${this._options.node}/${this._options.incarnation}/${(++this._lastId).toString(36)}`
-    let isSettled = false
-    let settle: (outcome: SlotOutcome | undefined) => void = () => {}
-    const outcome = new Promise<SlotOutcome | undefined>(resolve => {
-      settle = result => {
-        isSettled = true
-        resolve(result)
-      }
-    })
-    const release = (end: PlacementEnd): void => this._release(coordinator, shard, placementId, end)
-    const timer = setTimeout(() => {
-      if (isSettled) return
-      this._suspectUntilMs.set(coordinator, steadyNowMs() + SUSPECT_MS)
-      this._options.write('coordinatorSuspected', { peer: coordinator, service })
-      release({})
-      settle({ type: 'unavailable', detail: 'the coordinator did not reply' })
-    }, FIRST_REPLY_TIMEOUT_MS)
-    this._send(coordinator, shard, { ...request, placementId }, reply => {
-      clearTimeout(timer)
-      if (reply?.type === 'queued') return
-      if (isSettled) {
-        if (reply?.type === 'placed') release({})
-        return
-      }
-      if (reply === undefined) release({})
-      settle(this._toOutcome(reply, release))
+    const pending = new PendingSlot({
+      release: end => this._release(coordinator, shard, placementId, end),
+      onNoReply: () => {
+        this._suspectUntilMs.set(coordinator, steadyNowMs() + SUSPECT_MS)
+        this._options.write('coordinatorSuspected', { peer: coordinator, service })
+      },
+      findWorker: workerId => this._options.registry.find(workerId)
     })
-    return {
-      outcome,
-      cancel: () => {
-        if (isSettled) return
-        clearTimeout(timer)
-        release({})
-        settle(undefined)
-      }
-    }
+    this._send(coordinator, shard, { ...request, placementId }, reply => pending.handleReply(reply))
+    return pending
   }
 
   /** Workers of large services are divided evenly among shards; all turns of a program use the same one. */
@@ -140,17 +117,70 @@
     if (coordinator === node) own.release(shard, placementId, end)
     else mesh.notify(coordinator, { type: 'release', shard, placementId, end })
   }
+}
+
+interface PendingSlotOptions {
+  release: (end: PlacementEnd) => void
+  /** Called when the coordinator has not replied in time. */
+  onNoReply: () => void
+  findWorker: (workerId: string) => WorkerRegistration | undefined
+}
+
+/** A request for a slot until its outcome. Returns a slot that is assigned after that. */
+class PendingSlot implements SlotRequest {
+  readonly outcome: Promise<SlotOutcome | undefined>
+  private _resolve: (outcome: SlotOutcome | undefined) => void = () => {}
+  private _isSettled = false
+  private readonly _timer: NodeJS.Timeout
+
+  constructor (private readonly _options: PendingSlotOptions) {
+    this.outcome = new Promise(resolve => { this._resolve = resolve })
+    this._timer = setTimeout(() => {
+      _options.onNoReply()
+      this._withdraw(NO_REPLY)
+    }, FIRST_REPLY_TIMEOUT_MS)
+  }
+
+  cancel (): void {
+    if (!this._isSettled) this._withdraw(undefined)
+  }
+
+  handleReply (reply: PeerReply | undefined): void {
+    clearTimeout(this._timer)
+    if (reply?.type === 'queued') return
+    if (!this._isSettled) this._settleWith(reply)
+    else if (reply?.type === 'placed') this._options.release({})
+  }
+
+  private _settleWith (reply: PeerReply | undefined): void {
+    switch (reply?.type) {
+      case undefined: return this._withdraw(NO_REPLY)
+      case 'placed': return this._settleWithWorker(reply.workerId)
+      case 'refused': return this._settle(reply)
+      case 'unavailable': return this._settle(reply)
+      default: return this._withdraw({ type: 'unavailable', detail: `an unexpected reply: ${reply?.type}` })
+    }
+  }
+
+  private _settleWithWorker (workerId: string): void {
+    const { findWorker, release } = this._options
+    const worker = findWorker(workerId)
+    if (worker !== undefined && !worker.isDraining) this._settle({ type: 'placed', worker, release })
+    else this._withdraw({ type: 'unavailable', detail: 'the assigned worker is not known here' })
+  }
+
+  private _withdraw (outcome: SlotOutcome | undefined): void {
+    this._options.release({})
+    this._settle(outcome)
+  }
 
-  private _toOutcome (reply: PeerReply | undefined, release: (end: PlacementEnd) => void): SlotOutcome {
-    if (reply?.type === 'refused') return reply
-    if (reply?.type !== 'placed') return { type: 'unavailable', detail: reply?.type === 'unavailable' ? reply.detail : 'the coordinator did not reply' }
-    const worker = this._options.registry.find(reply.workerId)
-    if (worker !== undefined && !worker.isDraining) return { type: 'placed', worker, release }
-    release({})
-    return { type: 'unavailable', detail: 'the assigned worker is not known here' }
+  private _settle (outcome: SlotOutcome | undefined): void {
+    clearTimeout(this._timer)
+    this._isSettled = true
+    this._resolve(outcome)
   }
 }
 
-function createUnavailable (detail: string): SlotRequest {
-  return { outcome: Promise.resolve({ type: 'unavailable', detail }), cancel: () => {} }
+function createSettled (outcome: SlotOutcome): SlotRequest {
+  return { outcome: Promise.resolve(outcome), cancel: () => {} }
 }
