--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -1,10 +1,12 @@
 /**
  * Runs the uvu tests of the workspace in one process; the first argument limits them to files whose path contains it.
- * The last line gives the counts. Exits with code 1 if a test failed or none ran.
+ * Failed tests whose names KNOWN-RED.txt lists (`test "NAME" | ...`) are printed and counted as skipped.
+ * The last line gives the counts. Exits with code 1 if another test failed or none ran.
  */
-import { readdirSync, statSync } from 'node:fs'
+import { readdirSync, readFileSync, statSync } from 'node:fs'
 import { join, relative } from 'node:path'
 import { pathToFileURL } from 'node:url'
+import { stripVTControlCharacters } from 'node:util'
 
 const TEST_SUFFIX = '.test.ts'
 
@@ -28,6 +30,15 @@
   return { total: read('Total'), passed: read('Passed') }
 }
 
+/** Names of the tests that failed, as uvu prints them. */
+function parseFailures (output: string): string[] {
+  return [...stripVTControlCharacters(output).matchAll(/^ +FAIL +.*?"(.+)"$/gm)].map(([, name]) => name)
+}
+
+function readKnownFailures (): Set<string> {
+  return new Set([...readFileSync('KNOWN-RED.txt', 'utf8').matchAll(/^test "(.+?)" \|/gm)].map(([, name]) => name))
+}
+
 async function main (): Promise<void> {
   const pattern = process.argv[2] ?? ''
   const files = [...findTests('packages'), ...findTests('platform'), ...findTests('examples')].filter(file => file.includes(pattern))
@@ -50,9 +61,13 @@
   await exec(false)
   process.stdout.write = write as typeof process.stdout.write
   const { total, passed } = parseTotals(output)
+  const known = readKnownFailures()
+  const knownFailures = parseFailures(output).filter(name => known.has(name))
+  for (const name of knownFailures) process.stdout.write(`known red: ${name}\n`)
   const hasTotals = Number.isInteger(total) && total > 0
-  if (!hasTotals || passed !== total) process.exitCode = 1
-  process.stdout.write(`${hasTotals ? passed : 0} passed, ${hasTotals ? total - passed : 1} failed\n`)
+  const failed = hasTotals ? total - passed - knownFailures.length : 1
+  if (failed !== 0) process.exitCode = 1
+  process.stdout.write(`${hasTotals ? passed : 0} passed, ${failed} failed${knownFailures.length === 0 ? '' : `, ${knownFailures.length} skipped`}\n`)
   process.exit(process.exitCode ?? 0)
 }
 
