--- a/packages/core/src/common/base/rendezvous.ts
+++ b/packages/core/src/common/base/rendezvous.ts
@@ -30,7 +30,7 @@
   let bestName = ''
   for (const candidate of candidates) {
     const name = nameOf(candidate)
-    const weight = mix(Math.imul(keyHash, FNV_PRIME) ^ cachedHash32(name))
+    const weight = weightOf(keyHash, name)
     const isBetter = weight > bestWeight || (weight === bestWeight && name < bestName)
     if (!isBetter) continue
     best = candidate
@@ -40,6 +40,25 @@
   return best
 }
 
+/**
+ * Up to `count` names with the highest weights for `key`, in order; without a name, the others keep their order.
+ *
+ * @example
+ * selectOwners('request-7', ['regina-1', 'regina-2', 'brandon-1'], 2)
+ */
+export function selectOwners (key: string, names: readonly string[], count: number): string[] {
+  const keyHash = hash32(key)
+  return names
+    .map(name => ({ name, weight: weightOf(keyHash, name) }))
+    .sort((left, right) => right.weight - left.weight || (left.name < right.name ? -1 : 1))
+    .slice(0, count)
+    .map(({ name }) => name)
+}
+
+function weightOf (keyHash: number, name: string): number {
+  return mix(Math.imul(keyHash, FNV_PRIME) ^ cachedHash32(name))
+}
+
 function mix (value: number): number {
   let hash = Math.imul(value ^ (value >>> 16), MURMUR_MIX_1)
   hash = Math.imul(hash ^ (hash >>> 13), MURMUR_MIX_2)
--- a/packages/core/src/common/workers/servicePlacement.ts
+++ b/packages/core/src/common/workers/servicePlacement.ts
@@ -32,6 +32,8 @@
   cached: CachedPart[]
   /** Ids of workers that must not be chosen. */
   excluded: string[]
+  /** Software version of the worker, if the request continues a stream. */
+  softwareVersion?: string
 }
 
 /** How a placed request ended at its worker. */
@@ -190,7 +192,7 @@
         free--
         if (!queued.isBegun) programs++
         decided.push(placement)
-      } else if (nowMs + this._rateWaitMs(remaining.length, service) >= queued.untilMs) {
+      } else if (nowMs + this._rateWaitMs(remaining.length, service) >= queued.untilMs || !service.workers.some(worker => isOfVersion(worker, queued.request))) {
         decided.push({ type: 'refused', placementId: queued.request.placementId, retryAfterMs: this._resolveRetryAfterMs(remaining.length, service, nowMs) })
       } else {
         remaining.push(queued)
@@ -220,7 +222,7 @@
       return ratePerS === undefined || this._rates.mayTake(workerId, ratePerS, nowMs)
     }
     const worker = this._choice.chooseWorker({
-      candidates: workers.filter(({ workerId, slots }) => this._statistics.inFlightOf(workerId) < slots + this._options.queuePerWorker && mayTake(workerId)),
+      candidates: workers.filter(worker => isOfVersion(worker, request)).filter(({ workerId, slots }) => this._statistics.inFlightOf(workerId) < slots + this._options.queuePerWorker && mayTake(workerId)),
       excluded: new Set(request.excluded),
       zone: request.zone,
       durationMs: request.durationMs,
@@ -314,3 +316,7 @@
 function isLate ({ finishMs, durationMs }: PlacementRequest): boolean {
   return finishMs !== undefined && finishMs < durationMs
 }
+
+function isOfVersion (worker: WorkerRegistration, { softwareVersion }: PlacementRequest): boolean {
+  return softwareVersion === undefined || worker.softwareVersion === softwareVersion
+}
--- a/packages/core/src/common/workers/workerRegistry.ts
+++ b/packages/core/src/common/workers/workerRegistry.ts
@@ -8,6 +8,8 @@
   /** `host:port`. */
   address: string
   zone: string
+  /** Version of the worker's software, not of the weights that it serves. */
+  softwareVersion: string
   slots: number
   isDraining: boolean
   /** Start of the worker in Unix time; another start under the same id means a restarted worker that has lost its state. */
@@ -20,6 +22,8 @@
 const LAPSE_GRACE_MS = 2_000
 /** A worker whose address was answered by another worker is tried again after this, because its registration may still be right. */
 const MISDIRECTED_RETRY_MS = 10_000
+/** Software versions whose last worker has left are remembered for this long; longer than a stream lasts over all tries of its caller. */
+const VERSION_MEMORY_MS = 20_000
 
 interface Entry {
   registration: WorkerRegistration
@@ -45,6 +49,8 @@
   markMisdirected (workerId: string, nowMs: number): void
   /** Workers of a service that may get new work. Also removes entries whose grace time has passed. */
   workersOf (service: string, nowMs: number): WorkerRegistration[]
+  /** Software versions of the service's workers, registered now or within `VERSION_MEMORY_MS`, draining ones included. */
+  softwareVersionsOf (service: string, nowMs: number): string[]
   /** Last registration of a worker, whether or not it may get new work; undefined when there is none. */
   find (workerId: string): WorkerRegistration | undefined
 }
@@ -59,6 +65,8 @@
  */
 export class WorkerRegistry implements IWorkerRegistry {
   private readonly _entries = new Map<string, Entry>()
+  /** By service, the time at which a worker of a software version last left. */
+  private readonly _leftVersions = new Map<string, Map<string, number>>()
   private readonly _onDidLoseWorker = new Emitter<WorkerRegistration>()
   private _isLogLost = false
   private _regainedAtMs = Number.NEGATIVE_INFINITY
@@ -70,11 +78,12 @@
     if (registration === undefined) {
       if (known === undefined) return
       if (this._mayHaveLapsed(nowMs)) known.removedAtMs ??= nowMs
-      else this._remove(workerId)
+      else this._remove(workerId, nowMs)
       return
     }
     const hasRestarted = known !== undefined && known.registration.startedAtMs !== registration.startedAtMs
     const hasMoved = known !== undefined && known.registration.address !== registration.address
+    if (known !== undefined) this._rememberVersion(known.registration, nowMs)
     this._entries.set(workerId, { registration, misdirectedAtMs: hasRestarted || hasMoved ? undefined : known?.misdirectedAtMs })
     if (known !== undefined && (registration.isDraining || hasRestarted)) this._onDidLoseWorker.fire(known.registration)
   }
@@ -106,7 +115,7 @@
     for (const [workerId, { registration, removedAtMs, misdirectedAtMs }] of this._entries) {
       if (misdirectedAtMs !== undefined && nowMs - misdirectedAtMs < MISDIRECTED_RETRY_MS) continue
       if (removedAtMs !== undefined && !this._mayHaveLapsed(nowMs)) {
-        this._remove(workerId)
+        this._remove(workerId, nowMs)
       } else if (registration.service === service && !registration.isDraining) {
         workers.push(registration)
       }
@@ -114,6 +123,18 @@
     return workers
   }
 
+  softwareVersionsOf (service: string, nowMs: number): string[] {
+    const versions = new Set<string>()
+    for (const { registration } of this._entries.values()) {
+      if (registration.service === service) versions.add(registration.softwareVersion)
+    }
+    for (const [version, leftAtMs] of this._leftVersions.get(service) ?? []) {
+      if (nowMs - leftAtMs < VERSION_MEMORY_MS) versions.add(version)
+      else this._leftVersions.get(service)?.delete(version)
+    }
+    return [...versions]
+  }
+
   find (workerId: string): WorkerRegistration | undefined {
     return this._entries.get(workerId)?.registration
   }
@@ -122,9 +143,17 @@
     return this._isLogLost || nowMs < this._regainedAtMs + LAPSE_GRACE_MS
   }
 
-  private _remove (workerId: string): void {
+  private _remove (workerId: string, nowMs: number): void {
     const known = this._entries.get(workerId)
+    if (known === undefined) return
     this._entries.delete(workerId)
-    if (known !== undefined) this._onDidLoseWorker.fire(known.registration)
+    this._rememberVersion(known.registration, nowMs)
+    this._onDidLoseWorker.fire(known.registration)
+  }
+
+  private _rememberVersion ({ service, softwareVersion }: WorkerRegistration, nowMs: number): void {
+    const versions = this._leftVersions.get(service) ?? new Map<string, number>()
+    versions.set(softwareVersion, nowMs)
+    this._leftVersions.set(service, versions)
   }
 }
--- a/packages/core/test/common/workers/load/grownFleet.ts
+++ b/packages/core/test/common/workers/load/grownFleet.ts
@@ -37,7 +37,7 @@
   const events = new EventQueue()
   const random = new SeededRandom(seed)
   const workers = Array.from({ length: ENGINE_COUNT }, (_, index): WorkerRegistration => ({
-    workerId: `w${index}`, service: 's', address: '127.0.0.1:1', zone: 'a', slots: GROWN_ENGINE.slots, isDraining: false, startedAtMs: 1, coldLeftMs: 0
+    workerId: `w${index}`, service: 's', address: '127.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: GROWN_ENGINE.slots, isDraining: false, startedAtMs: 1, coldLeftMs: 0
   }))
   const engines = new Map(workers.map(({ workerId }) => [workerId, new SimulatedEngine(events, GROWN_ENGINE)]))
   const load = new ProgramLoad(events, random, createPlacement({ events, random, workers, engines, nodeCount }))
--- a/packages/core/test/common/workers/servicePlacement.test.ts
+++ b/packages/core/test/common/workers/servicePlacement.test.ts
@@ -7,7 +7,7 @@
 
 function createService (workerCount: number): PlacementService {
   const workers = Array.from({ length: workerCount }, (_, index): WorkerRegistration => ({
-    workerId: `w${index}`, service: 's', address: '127.0.0.1:1', zone: 'a', slots: SLOTS, isDraining: false, startedAtMs: 1, coldLeftMs: 0
+    workerId: `w${index}`, service: 's', address: '127.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: SLOTS, isDraining: false, startedAtMs: 1, coldLeftMs: 0
   }))
   return { workers, cacheTokens: 100_000, ratesPerS: new Map() }
 }
@@ -176,4 +176,16 @@
   }
 })
 
+test('the rest of a stream gets a worker of its software version only, and is refused at once when there is none', () => {
+  const [first, second] = createService(2).workers
+  const service = { ...createService(0), workers: [first, { ...second, softwareVersion: 'v2' }] }
+  const placement = createPlacement()
+  for (let index = 0; index < SLOTS; index++) {
+    const [placed] = placement.place(createRequest(`rest${index}`, { softwareVersion: 'v2' }), service, 0)
+    assert.is(placed.type === 'placed' && placed.workerId, 'w1')
+  }
+  assert.equal(placement.place(createRequest('waiting', { softwareVersion: 'v2' }), service, 0), [], 'it waits although another version is free')
+  assert.equal(placement.place(createRequest('gone', { softwareVersion: 'v3' }), service, 0).map(({ type }) => type), ['refused'])
+})
+
 test.run()
--- a/packages/core/test/common/workers/workers.test.ts
+++ b/packages/core/test/common/workers/workers.test.ts
@@ -3,7 +3,7 @@
 import { DEFAULT_WORKER_CHOICE, SeededRandom, WorkerChoice, type WorkerChoiceQuery, type WorkerRegistration, WorkerRegistry, WorkerStatistics } from '@trefoilshunt/core'
 
 function createWorker (workerId: string, fields: Partial<WorkerRegistration> = {}): WorkerRegistration {
-  return { workerId, service: 's', address: '127.0.0.1:1', zone: 'a', slots: 4, isDraining: false, startedAtMs: 1, coldLeftMs: 0, ...fields }
+  return { workerId, service: 's', address: '127.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: 4, isDraining: false, startedAtMs: 1, coldLeftMs: 0, ...fields }
 }
 
 function createQuery (candidates: WorkerRegistration[], fields: Partial<WorkerChoiceQuery> = {}): WorkerChoiceQuery {
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -50,6 +50,31 @@
   peers?: NodeAddress[]
 }
 
+/** The workers that began a stream; it goes on only at workers of the same service and software version. */
+export interface StreamOrigin {
+  service: string
+  softwareVersion: string
+}
+
+/** The beginning of a stream at the sender. */
+export interface StreamBeginning extends StreamOrigin {
+  /** Id of the caller's attempt that brought the first event. */
+  requestId: string
+  /** Time since the beginning. */
+  agoMs: number
+}
+
+/** What a node knows of the software versions of a service. */
+export const VersionKnowledge = {
+  /** There has been a single version for longer than a stream lasts. */
+  Single: 'single',
+  /** There are several, or were a short time ago. */
+  Several: 'several',
+  /** The node has not read the list of workers for long enough, or can't read it at the moment. */
+  Unknown: 'unknown'
+} as const
+export type VersionKnowledge = typeof VersionKnowledge[keyof typeof VersionKnowledge]
+
 /** A reply to a grant request. */
 export type GrantReply =
   /** The turn may be sent to a worker; `recorded` follows once the reservation is in the log. */
@@ -100,6 +125,10 @@
   | { type: 'grant', partition: number, request: GrantRequest, isKept: boolean }
   /** Reports the end of a turn. */
   | { type: 'end', partition: number, end: TurnEnd }
+  /** Beginnings of streams that the sender may not survive to tell. Gets no reply. */
+  | { type: 'streamsBegun', streams: StreamBeginning[] }
+  /** Requests the origin of a stream that the sender does not know, and what the peer knows of the versions of a service. */
+  | { type: 'findStreamOrigin', requestId: string | undefined, service: string }
   /** Looks a turn up in every partition that the peer owns. */
   | { type: 'findChain', turnId: string }
   /** Requests the newest records of a topic that the sender can't read, or of which the peer has newer ones. */
@@ -109,6 +138,8 @@
   | GrantReply
   | EndReply
   | PlaceReply
+  /** `origin` is absent if the peer does not know it. `version` is that of the service's workers if there is a single one. */
+  | { type: 'streamOrigin', origin?: StreamOrigin, versions: VersionKnowledge, version?: string }
   /** `chain` is absent if the turn was not found; `partitions` are those that were searched by their confirmed owner. */
   | { type: 'chain', chain?: RetainedTurn[], partitions: number[] }
   /** `records` is absent if the peer has not read the topic. */
--- a/packages/node/src/common/routed/routedRequest.ts
+++ b/packages/node/src/common/routed/routedRequest.ts
@@ -41,6 +41,8 @@
   program?: ProgramContext
   /** Id of the event after which the caller resumes a stream. */
   lastEventId?: string
+  /** Id of the caller's attempt that brought the first event of the stream, if this request takes it up again. */
+  resumedRequestId?: string
 }
 
 export interface AnswerHead {
@@ -60,6 +62,8 @@
   NoSuchTurn: 'noSuchTurn',
   Overloaded: 'overloaded',
   Quarantined: 'quarantined',
+  /** The software version that began the stream is not known, or has no worker. */
+  StreamOriginUnavailable: 'streamOriginUnavailable',
   OutcomeUnknown: 'fateUnknown',
   TimedOut: 'timedOut'
 } as const
--- a/packages/node/src/node/routed/answerRelay.ts
+++ b/packages/node/src/node/routed/answerRelay.ts
@@ -19,6 +19,8 @@
   lastEventId?: string
   /** True if `output` is needed. */
   retainsOutput?: boolean
+  /** Called before each event goes to the caller. */
+  onWillForwardEvent?: () => void
   /** Called with true when no more should be read from the worker, because what was read can't be forwarded yet, and with false when reading may continue. */
   onBackpressure?: (isPaused: boolean) => void
 }
@@ -191,6 +193,7 @@
 
   private _forwardEvent (frame: EventFrame): void {
     if (this._isStopped) return
+    this._options.onWillForwardEvent?.()
     this._write(frame.bytes)
     if (frame.data === undefined) return
     this._eventCount++
--- a/packages/node/src/node/routed/clusterView.ts
+++ b/packages/node/src/node/routed/clusterView.ts
@@ -57,6 +57,7 @@
   private readonly _workerFollower: TopicFollower
   private readonly _nodeFollower: TopicFollower
   private readonly _snapshots: TopicSnapshots
+  private _workersKnownAtMs: number | undefined
   private _isStopped = false
 
   constructor (private readonly _options: ClusterViewOptions) {
@@ -77,6 +78,16 @@
     return this._workerFollower.hasContent
   }
 
+  /** Time since the list of workers was first read; undefined before. */
+  get workersKnownForMs (): number | undefined {
+    return this._workersKnownAtMs === undefined ? undefined : steadyNowMs() - this._workersKnownAtMs
+  }
+
+  /** Time since the log last answered a read of the list of workers. */
+  get workersSilenceMs (): number {
+    return this._workerFollower.sinceLastReadMs
+  }
+
   start (): void {
     for (const follower of this._followers) follower.start()
     this._snapshots.start()
@@ -165,6 +176,7 @@
 
   private _applyRegistrations (records: KeyedRecord[], isComplete: boolean): void {
     const nowMs = steadyNowMs()
+    this._workersKnownAtMs ??= nowMs
     const registrations: WorkerRegistration[] = []
     for (const { key, value } of records) {
       const registration = value === undefined ? undefined : this._options.codec.decodeRegistration(key, value)
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -2,6 +2,7 @@
 import {
   AttemptOutcome, type GrantRequest, type LogFields, type NextAction, type PlacementEnd, resolveNextAction, type Route, type RoutedService, RouteKind, type TurnEnd, type WorkerRegistration
 } from '@trefoilshunt/core'
+import type { StreamOrigin } from '../../common/routed/routedPeerMessages.js'
 import { type IAnswerSink, type Refusal, RefusalReason, type RoutedRequest } from '../../common/routed/routedRequest.js'
 import { steadyNowMs } from '../steadyClock.js'
 import { AnswerRelay } from './answerRelay.js'
@@ -14,6 +15,8 @@
 const BUSY_RETRY_AFTER_MS = 120
 /** Retry-after while the owner of the caller's program is unavailable, for example while it is being replaced. */
 const OWNER_RETRY_AFTER_MS = 300
+/** Retry-after while it isn't known which software version began the caller's stream, for example while peers that know it reconnect. */
+const ORIGIN_RETRY_AFTER_MS = 300
 /** Retry-after of quarantined requests; long, because a request that crashes workers should not be repeated soon. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000
 /** Share of the remaining time for which a request may wait for the owner of its program. */
@@ -32,7 +35,10 @@
   private _expiryTimer: NodeJS.Timeout | undefined
   private _service: RoutedService | undefined
   private _grant: GrantedTurn | undefined
+  /** The workers that began the stream; undefined before its first event. */
+  private _origin: StreamOrigin | undefined
   private _latestAttempt: WorkerAttempt | undefined
+  private _hasRecordedOrigin = false
   private _isDone = false
   /** Requests in flight at the worker of the latest attempt, as this node knew them when it chose the worker. */
   private _believedInFlight = 0
@@ -52,6 +58,7 @@
     this._relay = new AnswerRelay(_sink, {
       lastEventId: _request.lastEventId,
       retainsOutput: _route.retainsTurns,
+      onWillForwardEvent: () => this._recordOrigin(),
       onBackpressure: isPaused => this._latestAttempt?.setPaused(isPaused)
     })
   }
@@ -59,10 +66,44 @@
   start (): void {
     this._sink.onCallerDisconnected = () => this._onCallerDisconnected()
     this._expiryTimer = setTimeout(() => this._expire(), Math.max(0, this._timeLeftMs))
+    if (this._continuesStream) void this._resolveOrigin()
+    else this._begin()
+  }
+
+  private _begin (): void {
     if (this._needsGrant) void this._requestGrant()
     else this._startAttempt()
   }
 
+  /** True if the caller has received the first events of the stream in an earlier try. */
+  private get _continuesStream (): boolean {
+    const { lastEventId, resumedRequestId } = this._request
+    return this._route.kind === RouteKind.Stream && this._route.canResume && (lastEventId !== undefined || resumedRequestId !== undefined)
+  }
+
+  private async _resolveOrigin (): Promise<void> {
+    const { routes, streamOrigins, metrics } = this._dependencies
+    const [service] = routes.drawServices(this._route)
+    const outcome = await streamOrigins.resolve(this._request.resumedRequestId, service ?? '')
+    metrics.count('stream_origins_total', { outcome: outcome.type })
+    if (this._isDone) return
+    if (outcome.type === 'unknown') {
+      this._refuse({ status: 503, reason: RefusalReason.StreamOriginUnavailable, retryAfterMs: ORIGIN_RETRY_AFTER_MS }, outcome.detail)
+      return
+    }
+    this._origin = outcome.origin
+    this._begin()
+  }
+
+  /** Called before each event; the first one decides at which software version the stream goes on. */
+  private _recordOrigin (): void {
+    const worker = this._latestAttempt?.worker
+    if (worker === undefined || this._hasRecordedOrigin) return
+    this._hasRecordedOrigin = true
+    this._origin ??= { service: worker.service, softwareVersion: worker.softwareVersion }
+    if (this._route.canResume) this._dependencies.streamOrigins.recordBeginning(this._request.requestId, this._origin)
+  }
+
   private get _timeLeftMs (): number {
     return this._expiresAtMs - steadyNowMs()
   }
@@ -128,7 +169,7 @@
       this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'the request crashed several workers', RefusalReason.Quarantined)
       return
     }
-    const state = { cached: this._grant?.cached ?? [], excluded: this._excluded, hasBegun: this._hasBegun, timeLeftMs: this._timeLeftMs }
+    const state = { cached: this._grant?.cached ?? [], excluded: this._excluded, hasBegun: this._hasBegun, timeLeftMs: this._timeLeftMs, origin: this._origin }
     this._selector.select(state, selection => {
       const next: NextAction = { type: this._mayHaveRun ? 'unknown' : 'notRun' }
       switch (selection.type) {
@@ -155,6 +196,10 @@
       isFirstTurn: this._needsGrant ? !this._hasBegun : undefined,
       isSessionCached: this._needsGrant ? this._grant?.cached.some(part => part.worker === worker.workerId) : undefined,
       excluded: this._excluded.size,
+      softwareVersion: worker.softwareVersion,
+      originVersion: this._origin?.softwareVersion,
+      resumes: this._request.resumedRequestId,
+      lastEventId: this._relay.lastEventId,
       timeLeftMs: Math.round(this._timeLeftMs)
     })
     const request = this._request
--- a/packages/node/src/node/routed/routedCallDependencies.ts
+++ b/packages/node/src/node/routed/routedCallDependencies.ts
@@ -7,6 +7,7 @@
 import type { RateLimitReporter } from './rateLimitReporter.js'
 import type { RouteDurations } from './routeDurations.js'
 import type { SlotClient } from './slotClient.js'
+import type { StreamOrigins } from './streamOrigins.js'
 import type { TurnService } from './turnService.js'
 
 export interface RoutedCallDependencies {
@@ -22,6 +23,7 @@
   choice: IWorkerChoice
   /** Slots of model engines. */
   slots: SlotClient
+  streamOrigins: StreamOrigins
   durations: RouteDurations
   workers: IWorkerClient
   turns: TurnService
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -24,6 +24,7 @@
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
 import { SlotClient } from './slotClient.js'
 import { StatusBroadcast } from './statusBroadcast.js'
+import { StreamOrigins } from './streamOrigins.js'
 import { TurnService } from './turnService.js'
 
 /** A stopping node accepts new requests for at least this long, because callers use an old list of addresses for that time. */
@@ -83,6 +84,7 @@
   private readonly _turns: TurnService
   private readonly _coordinator: PlacementCoordinator
   private readonly _slots: SlotClient
+  private readonly _streamOrigins: StreamOrigins
   private readonly _clusterView: ClusterView
   private readonly _poisonRequestDetector: PoisonRequestDetector
   private readonly _statusBroadcast: StatusBroadcast
@@ -178,6 +180,14 @@
       coordinator: this._coordinator,
       write
     })
+    this._streamOrigins = new StreamOrigins({
+      registry: this._registry,
+      directory: this._directory,
+      mesh: this._mesh,
+      listKnownForMs: () => this._clusterView.workersKnownForMs,
+      listSilenceMs: () => this._clusterView.workersSilenceMs,
+      write
+    })
     const reporter = new RateLimitReporter({ rateLimits: this._rateLimits, report: (worker, report) => this._slots.reportRateLimit(worker, report) })
     const ownRates = new OwnRates({ rateLimits: this._rateLimits, nodeCount: () => this._directory.size + 1, random: container.resolve<IRandom>(IRandom) })
     this._registry.onDidLoseWorker(({ workerId, address }) => {
@@ -199,6 +209,7 @@
       statistics: this._statistics,
       choice: container.resolve<IWorkerChoice>(IWorkerChoice),
       slots: this._slots,
+      streamOrigins: this._streamOrigins,
       durations: new RouteDurations(),
       workers: _options.workers,
       turns: this._turns,
@@ -287,6 +298,7 @@
     this._clusterView.stop()
     this._partitionHost.close()
     this._coordinator.dispose()
+    this._streamOrigins.dispose()
     await Promise.all([this._mesh.close(), this._options.workers.close(), this._options.log.close()])
   }
 
@@ -307,6 +319,7 @@
       turn_bytes_held: served.reduce((total, owner) => total + owner.turnBytes, 0),
       programs_held: served.reduce((total, owner) => total + owner.programCount, 0),
       rate_limited_workers: this._rateLimits.reports(steadyNowMs()).filter(({ limitPerS }) => limitPerS !== undefined).length,
+      stream_origins_held: this._streamOrigins.size,
       placements_open: this._coordinator.openCount,
       placements_queued: this._coordinator.queueLength,
       append_backlog: served.reduce((total, owner) => total + owner.backlog, 0),
@@ -360,7 +373,7 @@
   }
 
   private _handlePeerRequest (request: PeerRequest, respond: PeerResponder): void {
-    if (this._turns.handle(request, respond)) return
+    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond)) return
     switch (request.type) {
       case 'place': return this._coordinator.place(request.shard, request.from, request.request, respond)
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
--- a/packages/node/src/node/routed/slotClient.ts
+++ b/packages/node/src/node/routed/slotClient.ts
@@ -1,5 +1,5 @@
 /** Obtains slots of workers from the node that coordinates them. */
-import { type IWorkerRegistry, type LogFields, type PlacementEnd, type PlacementRequest, type RateLimitReport, resolveOwner, type WorkerRegistration } from '@trefoilshunt/core'
+import { hash32, type IWorkerRegistry, type LogFields, type PlacementEnd, type PlacementRequest, type RateLimitReport, resolveOwner, type WorkerRegistration } from '@trefoilshunt/core'
 import { type PeerReply, type ServiceShard, shardIndexOf, shardKeyOf } from '../../common/routed/routedPeerMessages.js'
 import { steadyNowMs } from '../steadyClock.js'
 import type { NodeDirectory } from './nodeDirectory.js'
@@ -65,7 +65,7 @@
 
   /** Requests a slot of a worker of the service. */
   request (service: string, request: Omit<PlacementRequest, 'placementId'>): SlotRequest {
-    const shard = this._shardOf(service, request.programId)
+    const shard = this._shardOf(service, request)
     const coordinator = this._coordinatorOf(shard)
     if (coordinator === undefined) return createSettled({ type: 'unavailable', detail: 'no coordinator is known' })
     if ((this._suspectUntilMs.get(coordinator) ?? 0) > steadyNowMs()) return createSettled(NO_REPLY)
@@ -98,10 +98,15 @@
     return this._coordinatorOf({ service, count, index: shardIndexOf(workerId, count) })
   }
 
-  /** Workers of large services are divided evenly among shards; all turns of a program use the same one. */
-  private _shardOf (service: string, programId: string | undefined): ServiceShard {
+  /** Workers of large services are divided evenly among shards; all turns of a program use the same one, but for the rest of a stream whose software version isn't there. */
+  private _shardOf (service: string, { programId = String(this._lastId), softwareVersion }: Pick<PlacementRequest, 'programId' | 'softwareVersion'>): ServiceShard {
     const count = this._shardCountOf(service)
-    return { service, count, index: shardIndexOf(programId ?? String(this._lastId), count) }
+    const index = shardIndexOf(programId, count)
+    if (count === 1 || softwareVersion === undefined) return { service, count, index }
+    const matching = this._options.registry.workersOf(service, steadyNowMs()).filter(worker => worker.softwareVersion === softwareVersion)
+    const indexes = matching.map(({ workerId }) => shardIndexOf(workerId, count))
+    const hasIndex = indexes.length === 0 || indexes.includes(index)
+    return { service, count, index: hasIndex ? index : indexes[hash32(programId) % indexes.length] }
   }
 
   private _shardCountOf (service: string): number {
--- a/packages/node/src/node/routed/workerSelector.ts
+++ b/packages/node/src/node/routed/workerSelector.ts
@@ -1,5 +1,6 @@
 /** Selects the worker of each attempt of one request: model engines and workers with rate limits by the coordinator of their service, others by this node. */
 import type { CachedPart, LogFields, PlacementEnd, Route, RoutedService, WorkerRegistration } from '@trefoilshunt/core'
+import type { StreamOrigin } from '../../common/routed/routedPeerMessages.js'
 import type { RoutedRequest } from '../../common/routed/routedRequest.js'
 import { steadyNowMs } from '../steadyClock.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
@@ -17,6 +18,8 @@
   /** True for a turn of a program that has completed one. */
   hasBegun: boolean
   timeLeftMs: number
+  /** Service and software version of the workers that may be selected, if the request continues a stream. */
+  origin?: StreamOrigin
 }
 
 export type WorkerSelection =
@@ -46,7 +49,7 @@
 
   /** Calls `onSelected` once, at once for workers that this node selects by itself, or never after `cancel`. */
   select (state: AttemptState, onSelected: (selection: WorkerSelection) => void): void {
-    const service = this._drawCoordinatedService()
+    const service = this._drawCoordinatedService(state)
     if (service === undefined) onSelected(this._selectHere(state))
     else void this._selectByCoordinator(service, state, onSelected)
   }
@@ -58,14 +61,21 @@
   }
 
   /** The service for this attempt if a coordinator assigns its workers. */
-  private _drawCoordinatedService (): RoutedService | undefined {
-    const { dependencies: { routes, registry, rateLimits }, route } = this._options
-    const [name] = routes.drawServices(route)
+  private _drawCoordinatedService (state: AttemptState): RoutedService | undefined {
+    const { routes, registry, rateLimits } = this._options.dependencies
+    const [name] = this._drawServices(state)
     const service = name === undefined ? undefined : routes.findService(name)
     if (service === undefined || service.engine !== undefined) return service
     return registry.workersOf(service.name, steadyNowMs()).some(worker => rateLimits.rateOf(worker) !== undefined) ? service : undefined
   }
 
+  /** Services in the order in which they are tried; for the rest of a stream only the one that began it, if the route still allows it. */
+  private _drawServices ({ origin }: AttemptState): string[] {
+    const { dependencies: { routes }, route } = this._options
+    const names = routes.drawServices(route)
+    return origin === undefined ? names : names.filter(name => name === origin.service)
+  }
+
   private async _selectByCoordinator (service: RoutedService, state: AttemptState, onSelected: (selection: WorkerSelection) => void): Promise<void> {
     const startedMs = steadyNowMs()
     this._slotRequest = this._requestSlot(service, state)
@@ -83,7 +93,7 @@
     }
   }
 
-  private _requestSlot (service: RoutedService, { cached, excluded, hasBegun, timeLeftMs }: AttemptState): SlotRequest {
+  private _requestSlot (service: RoutedService, { cached, excluded, hasBegun, timeLeftMs, origin }: AttemptState): SlotRequest {
     const { dependencies: { slots, durations, zone }, request: { program, prompt }, route } = this._options
     return slots.request(service.name, {
       programId: program?.programId,
@@ -97,7 +107,8 @@
       zone,
       prompt,
       cached: [...cached],
-      excluded: [...excluded]
+      excluded: [...excluded],
+      softwareVersion: origin?.softwareVersion
     })
   }
 
@@ -107,12 +118,13 @@
     this._options.log('slotNotAssigned', { outcome: outcome.type, waitedMs: Math.round(waitedMs), detail: outcome.type === 'unavailable' ? outcome.detail : undefined })
   }
 
-  private _selectHere ({ cached, excluded }: AttemptState): WorkerSelection {
+  private _selectHere (state: AttemptState): WorkerSelection {
+    const { cached, excluded, origin } = state
     const { dependencies: { routes, registry, ownRates, choice, durations, workers, zone }, request, route } = this._options
     const nowMs = steadyNowMs()
     let isRateLimited = false
-    for (const name of routes.drawServices(route)) {
-      const registered = registry.workersOf(name, nowMs)
+    for (const name of this._drawServices(state)) {
+      const registered = registry.workersOf(name, nowMs).filter(({ softwareVersion }) => origin === undefined || softwareVersion === origin.softwareVersion)
       const candidates = ownRates.filter(registered)
       if (candidates.length < registered.length) isRateLimited = true
       const worker = choice.chooseWorker({
--- a/packages/node/test/node/routed/ownRates.test.ts
+++ b/packages/node/test/node/routed/ownRates.test.ts
@@ -5,7 +5,7 @@
 import { OwnRates } from '../../../src/node/routed/ownRates.js'
 import { VirtualTime } from './virtualTime.js'
 
-const WORKER: WorkerRegistration = { workerId: 'w', service: 's', address: '127.0.0.1:1', zone: 'a', slots: 6, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }
+const WORKER: WorkerRegistration = { workerId: 'w', service: 's', address: '127.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: 6, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }
 const LIMIT_PER_S = 5
 const STEP_MS = 50
 
--- a/packages/node/test/node/routed/placementCoordinator.test.ts
+++ b/packages/node/test/node/routed/placementCoordinator.test.ts
@@ -6,7 +6,7 @@
 import { PlacementCoordinator } from '../../../src/node/routed/placementCoordinator.js'
 import { VirtualTime } from './virtualTime.js'
 
-const WORKER: WorkerRegistration = { workerId: 'w', service: 's', address: '127.0.0.1:1', zone: 'a', slots: 100, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }
+const WORKER: WorkerRegistration = { workerId: 'w', service: 's', address: '127.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: 100, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }
 const SHARD: ServiceShard = { service: 's', index: 0, count: 1 }
 const LIMIT_PER_S = 10
 const FOR_MS = 4_000
--- a/packages/node/test/node/routed/slotClient.test.ts
+++ b/packages/node/test/node/routed/slotClient.test.ts
@@ -21,6 +21,7 @@
   restartClient: () => SlotClient
   coordinator: PlacementCoordinator
   directory: NodeDirectory
+  registry: WorkerRegistry
   /** Requests that reached the node's coordinator. */
   receivedCount: number
   isFrozen: boolean
@@ -62,7 +63,7 @@
     const createClient = (): SlotClient => new SlotClient({
       node: name, incarnation: String(++lastIncarnation), cores: cores[name], isReady: () => true, registry, directory, mesh, coordinator, write: () => {}
     })
-    nodes.set(name, { name, client: createClient(), restartClient: createClient, coordinator, directory, receivedCount: 0, isFrozen: false })
+    nodes.set(name, { name, client: createClient(), restartClient: createClient, coordinator, directory, registry, receivedCount: 0, isFrozen: false })
   }
   for (const { name, directory } of nodes.values()) {
     for (const peer of nodes.keys()) if (peer !== name) directory.applyStatus(createStatus(peer, cores[peer]))
@@ -71,7 +72,7 @@
 }
 
 function createWorker (workerId: string): WorkerRegistration {
-  return { workerId, service: SERVICE, address: '127.0.0.1:1', zone: 'a', slots: SLOTS, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }
+  return { workerId, service: SERVICE, address: '127.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: SLOTS, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }
 }
 
 function createStatus (node: string, cores: number): NodeStatus {
@@ -183,4 +184,18 @@
   })
 })
 
+test('the rest of a stream is requested from the coordinator of a shard that has workers of its software version', async () => {
+  await run(async time => {
+    const nodes = createNodes({ a: 1, b: 1, c: 1 }, 200)
+    for (const { registry } of nodes.values()) registry.update('w7', { ...createWorker('w7'), softwareVersion: 'v2' }, 0)
+    for (let index = 0; index < 2 * SLOTS; index++) {
+      const { outcome } = (nodes.get('a') as TestNode).client.request(SERVICE, { programId: `p${index}`, hasBegun: true, priority: 0, objectiveMs: 400, durationMs: 300, timeLeftMs: 3_000, zone: 'a', prompt: [], cached: [], excluded: [], softwareVersion: 'v2' })
+      await time.advance(20)
+      const slot = await outcome
+      assert.is(slot?.type === 'placed' && slot.worker.workerId, 'w7', slot?.type)
+    }
+    for (const { coordinator } of nodes.values()) coordinator.dispose()
+  })
+})
+
 test.run()
--- a/packages/node/test/node/routed/workerSelector.test.ts
+++ b/packages/node/test/node/routed/workerSelector.test.ts
@@ -7,7 +7,7 @@
 import type { SlotOutcome } from '../../../src/node/routed/slotClient.js'
 import { WorkerSelector, type WorkerSelection } from '../../../src/node/routed/workerSelector.js'
 
-const WORKER: WorkerRegistration = { workerId: 'w', service: 'engines', address: '127.0.0.1:1', zone: 'a', slots: 1, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }
+const WORKER: WorkerRegistration = { workerId: 'w', service: 'engines', address: '127.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: 1, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }
 const ROUTE = { name: 'r', kind: RouteKind.Stream, priority: 0, objectiveMs: 100, targets: [{ service: 'engines', weight: 1 }] } as unknown as Route
 const STATE = { cached: [], excluded: new Set<string>(), hasBegun: false, timeLeftMs: 1_000 }
 
