Rate limits: the end of a limit is reported for a limited time

A node reported the end of a limit to the coordinator each second for as long as the worker answered, because every answer renewed the time of the observation. The time of the change counts now. The new test failed before: still reported after 30 s.

--- a/packages/core/src/common/workers/workerRateLimits.ts
+++ b/packages/core/src/common/workers/workerRateLimits.ts
@@ -23,14 +23,19 @@
   limitPerS: number | undefined
 }
 
-interface Entry extends RateLimitChange {
+interface Observation extends RateLimitChange {
   observedAtMs: number
 }
 
+interface Entry extends Observation {
+  /** Time at which this node learned the limit or its end. */
+  changedAtMs: number
+}
+
 /** The newest answer of a worker decides, whichever node got it. A limit stays in force until the worker names another one or none, leaves or restarts. */
 export interface IWorkerRateLimits {
   readonly onDidChange: Event<RateLimitChange>
-  /** Stores what an answer to this node named; `limitPerS` is undefined if it named no limit. True if anything about limits is known of the worker. */
+  /** Stores what an answer to this node named; `limitPerS` is undefined if it named no limit. True if the worker has a limit, or one that ended a short time ago. */
   observe (worker: WorkerStart, limitPerS: number | undefined, nowMs: number): boolean
   /** Stores the reports of a peer that are newer than what is known. */
   applyReports (reports: readonly RateLimitReport[], nowMs: number): void
@@ -55,19 +60,20 @@
   readonly onDidChange = this._onDidChange.event
 
   observe ({ workerId, startedAtMs }: WorkerStart, limitPerS: number | undefined, nowMs: number): boolean {
-    this._store({ workerId, startedAtMs, limitPerS, observedAtMs: nowMs })
-    return this._entries.has(workerId)
+    this._store({ workerId, startedAtMs, limitPerS, observedAtMs: nowMs }, nowMs)
+    const entry = this._entries.get(workerId)
+    return entry !== undefined && isReported(entry, nowMs)
   }
 
   applyReports (reports: readonly RateLimitReport[], nowMs: number): void {
-    for (const { workerId, startedAtMs, limitPerS, agoMs } of reports) this._store({ workerId, startedAtMs, limitPerS, observedAtMs: nowMs - agoMs })
+    for (const { workerId, startedAtMs, limitPerS, agoMs } of reports) this._store({ workerId, startedAtMs, limitPerS, observedAtMs: nowMs - agoMs }, nowMs)
   }
 
   reports (nowMs: number): RateLimitReport[] {
     const reports: RateLimitReport[] = []
-    for (const { workerId, startedAtMs, limitPerS, observedAtMs } of this._entries.values()) {
-      const agoMs = Math.round(nowMs - observedAtMs)
-      if (limitPerS !== undefined || agoMs < LIFTED_REPORT_MS) reports.push({ workerId, startedAtMs, limitPerS, agoMs })
+    for (const entry of this._entries.values()) {
+      const { workerId, startedAtMs, limitPerS, observedAtMs } = entry
+      if (isReported(entry, nowMs)) reports.push({ workerId, startedAtMs, limitPerS, agoMs: Math.round(nowMs - observedAtMs) })
     }
     return reports
   }
@@ -82,13 +88,23 @@
     this._entries.delete(workerId)
   }
 
-  private _store (entry: Entry): void {
-    const known = this._entries.get(entry.workerId)
-    const isSameStart = known?.startedAtMs === entry.startedAtMs
-    if (known === undefined && entry.limitPerS === undefined) return
-    if (known !== undefined && (isSameStart ? entry.observedAtMs < known.observedAtMs : entry.startedAtMs < known.startedAtMs)) return
-    this._entries.set(entry.workerId, entry)
-    const { workerId, startedAtMs, limitPerS } = entry
+  private _store (observation: Observation, nowMs: number): void {
+    const { workerId, startedAtMs, limitPerS, observedAtMs } = observation
+    const known = this._entries.get(workerId)
+    if (known === undefined && limitPerS === undefined) return
+    if (known !== undefined && isOutdated(observation, known)) return
+    const isSameStart = known?.startedAtMs === startedAtMs
+    const isSame = known !== undefined && isSameStart && known.limitPerS === limitPerS
+    this._entries.set(workerId, { workerId, startedAtMs, limitPerS, observedAtMs, changedAtMs: isSame ? known.changedAtMs : nowMs })
     if (limitPerS !== (isSameStart ? known?.limitPerS : undefined)) this._onDidChange.fire({ workerId, startedAtMs, limitPerS })
   }
 }
+
+function isReported ({ limitPerS, changedAtMs }: Entry, nowMs: number): boolean {
+  return limitPerS !== undefined || nowMs - changedAtMs < LIFTED_REPORT_MS
+}
+
+function isOutdated (observation: Observation, known: Observation): boolean {
+  if (observation.startedAtMs !== known.startedAtMs) return observation.startedAtMs < known.startedAtMs
+  return observation.observedAtMs < known.observedAtMs
+}
--- a/packages/core/test/common/workers/workerRateLimits.test.ts
+++ b/packages/core/test/common/workers/workerRateLimits.test.ts
@@ -57,4 +57,13 @@
   assert.ok(ratePerS > 0 && ratePerS <= 1, String(ratePerS))
 })
 
+test('the end of a limit is reported for a limited time, also while the worker goes on answering', () => {
+  const limits = new WorkerRateLimits()
+  limits.observe(WORKER, 5, 0)
+  let isReported = true
+  for (let nowMs = 1_000; nowMs <= 30_000; nowMs += 1_000) isReported = limits.observe(WORKER, undefined, nowMs)
+  assert.is(isReported, false)
+  assert.equal(limits.reports(30_000), [])
+})
+
 test.run()
