--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -2,11 +2,11 @@
 import {
   AttemptOutcome, type GrantRequest, type LogFields, type NextAction, type PlacementEnd, resolveNextAction, type Route, type RoutedService, RouteKind, type TurnEnd, type WorkerRegistration
 } from '@trefoilshunt/core'
-import type { StreamOrigin } from '../../common/routed/routedPeerMessages.js'
 import { type IAnswerSink, type Refusal, RefusalReason, type RoutedRequest } from '../../common/routed/routedRequest.js'
 import { steadyNowMs } from '../steadyClock.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
+import { StreamContinuation } from './streamContinuation.js'
 import type { GrantedTurn, GrantOutcome } from './turnService.js'
 import { WorkerAttempt } from './workerAttempt.js'
 import { WorkerSelector } from './workerSelector.js'
@@ -32,13 +32,11 @@
   private readonly _excluded = new Set<string>()
   private readonly _relay: AnswerRelay
   private readonly _selector: WorkerSelector
+  private readonly _stream: StreamContinuation
   private _expiryTimer: NodeJS.Timeout | undefined
   private _service: RoutedService | undefined
   private _grant: GrantedTurn | undefined
-  /** The workers that began the stream; undefined before its first event. */
-  private _origin: StreamOrigin | undefined
   private _latestAttempt: WorkerAttempt | undefined
-  private _hasRecordedOrigin = false
   private _isDone = false
   /** Requests in flight at the worker of the latest attempt, as this node knew them when it chose the worker. */
   private _believedInFlight = 0
@@ -55,10 +53,11 @@
     const maxWaitMs = Math.min(_request.deadlineMs ?? Number.POSITIVE_INFINITY, _route.timeoutMs)
     this._expiresAtMs = _request.arrivedAtMs + maxWaitMs
     this._selector = new WorkerSelector({ dependencies: _dependencies, request: _request, route: _route, log: (event, fields) => this._log(event, fields) })
+    this._stream = new StreamContinuation({ dependencies: _dependencies, request: _request, route: _route })
     this._relay = new AnswerRelay(_sink, {
       lastEventId: _request.lastEventId,
       retainsOutput: _route.retainsTurns,
-      onWillForwardEvent: () => this._recordOrigin(),
+      onWillForwardEvent: () => { if (this._latestAttempt !== undefined) this._stream.recordEvent(this._latestAttempt.worker) },
       onBackpressure: isPaused => this._latestAttempt?.setPaused(isPaused)
     })
   }
@@ -66,7 +65,7 @@
   start (): void {
     this._sink.onCallerDisconnected = () => this._onCallerDisconnected()
     this._expiryTimer = setTimeout(() => this._expire(), Math.max(0, this._timeLeftMs))
-    if (this._continuesStream) void this._resolveOrigin()
+    if (this._stream.isTakenUp) void this._resolveOrigin()
     else this._begin()
   }
 
@@ -75,33 +74,11 @@
     else this._startAttempt()
   }
 
-  /** True if the caller has received the first events of the stream in an earlier try. */
-  private get _continuesStream (): boolean {
-    const { lastEventId, resumedRequestId } = this._request
-    return this._route.kind === RouteKind.Stream && this._route.canResume && (lastEventId !== undefined || resumedRequestId !== undefined)
-  }
-
   private async _resolveOrigin (): Promise<void> {
-    const { routes, streamOrigins, metrics } = this._dependencies
-    const [service] = routes.drawServices(this._route)
-    const outcome = await streamOrigins.resolve(this._request.resumedRequestId, service ?? '')
-    metrics.count('stream_origins_total', { outcome: outcome.type })
+    const problem = await this._stream.resolveOrigin()
     if (this._isDone) return
-    if (outcome.type === 'unknown') {
-      this._refuse({ status: 503, reason: RefusalReason.StreamOriginUnavailable, retryAfterMs: ORIGIN_RETRY_AFTER_MS }, outcome.detail)
-      return
-    }
-    this._origin = outcome.origin
-    this._begin()
-  }
-
-  /** Called before each event; the first one decides at which software version the stream goes on. */
-  private _recordOrigin (): void {
-    const worker = this._latestAttempt?.worker
-    if (worker === undefined || this._hasRecordedOrigin) return
-    this._hasRecordedOrigin = true
-    this._origin ??= { service: worker.service, softwareVersion: worker.softwareVersion }
-    if (this._route.canResume) this._dependencies.streamOrigins.recordBeginning(this._request.requestId, this._origin)
+    if (problem === undefined) this._begin()
+    else this._refuse({ status: 503, reason: RefusalReason.StreamOriginUnavailable, retryAfterMs: ORIGIN_RETRY_AFTER_MS }, problem)
   }
 
   private get _timeLeftMs (): number {
@@ -169,7 +146,7 @@
       this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'the request crashed several workers', RefusalReason.Quarantined)
       return
     }
-    const state = { cached: this._grant?.cached ?? [], excluded: this._excluded, hasBegun: this._hasBegun, timeLeftMs: this._timeLeftMs, origin: this._origin }
+    const state = { cached: this._grant?.cached ?? [], excluded: this._excluded, hasBegun: this._hasBegun, timeLeftMs: this._timeLeftMs, origin: this._stream.origin }
     this._selector.select(state, selection => {
       const next: NextAction = { type: this._mayHaveRun ? 'unknown' : 'notRun' }
       switch (selection.type) {
@@ -197,7 +174,7 @@
       isSessionCached: this._needsGrant ? this._grant?.cached.some(part => part.worker === worker.workerId) : undefined,
       excluded: this._excluded.size,
       softwareVersion: worker.softwareVersion,
-      originVersion: this._origin?.softwareVersion,
+      originVersion: this._stream.origin?.softwareVersion,
       resumes: this._request.resumedRequestId,
       lastEventId: this._relay.lastEventId,
       timeLeftMs: Math.round(this._timeLeftMs)
