--- a/packages/core/src/common/workers/servicePlacement.ts
+++ b/packages/core/src/common/workers/servicePlacement.ts
@@ -192,7 +192,7 @@
         free--
         if (!queued.isBegun) programs++
         decided.push(placement)
-      } else if (nowMs + this._rateWaitMs(remaining.length, service) >= queued.untilMs || !service.workers.some(worker => isOfVersion(worker, queued.request))) {
+      } else if (this._isTooLate(queued, remaining.length, service, nowMs)) {
         decided.push({ type: 'refused', placementId: queued.request.placementId, retryAfterMs: this._resolveRetryAfterMs(remaining.length, service, nowMs) })
       } else {
         remaining.push(queued)
@@ -216,13 +216,10 @@
     return expired.map(([placementId]) => placementId)
   }
 
-  private _placeNow (request: PlacementRequest, { workers, cacheTokens, ratesPerS }: PlacementService, nowMs: number): SlotPlacement | undefined {
-    const mayTake = (workerId: string): boolean => {
-      const ratePerS = ratesPerS.get(workerId)
-      return ratePerS === undefined || this._rates.mayTake(workerId, ratePerS, nowMs)
-    }
+  private _placeNow (request: PlacementRequest, service: PlacementService, nowMs: number): SlotPlacement | undefined {
+    const { workers, cacheTokens, ratesPerS } = service
     const worker = this._choice.chooseWorker({
-      candidates: workers.filter(worker => isOfVersion(worker, request)).filter(({ workerId, slots }) => this._statistics.inFlightOf(workerId) < slots + this._options.queuePerWorker && mayTake(workerId)),
+      candidates: workers.filter(worker => isOfVersion(worker, request) && this._mayTake(worker, service, nowMs)),
       excluded: new Set(request.excluded),
       zone: request.zone,
       durationMs: request.durationMs,
@@ -241,6 +238,13 @@
     return { type: 'placed', placementId: request.placementId, workerId }
   }
 
+  /** True if the worker has room for a request and its rate limit allows one. */
+  private _mayTake ({ workerId, slots }: WorkerRegistration, { ratesPerS }: PlacementService, nowMs: number): boolean {
+    if (this._statistics.inFlightOf(workerId) >= slots + this._options.queuePerWorker) return false
+    const ratePerS = ratesPerS.get(workerId)
+    return ratePerS === undefined || this._rates.mayTake(workerId, ratePerS, nowMs)
+  }
+
   private _close (placementId: string, { workerId, programId }: OpenPlacement, nowMs: number, durationRatio?: number): void {
     this._open.delete(placementId)
     this._statistics.endRequest(workerId, durationRatio)
@@ -282,6 +286,12 @@
     this._statistics.setPeerLoad(ADOPTED_LOAD, Object.fromEntries(entries))
   }
 
+  /** True if no worker will take the request before its wait is over. */
+  private _isTooLate ({ request, untilMs }: QueuedRequest, queuedCount: number, service: PlacementService, nowMs: number): boolean {
+    if (!service.workers.some(worker => isOfVersion(worker, request))) return true
+    return nowMs + this._rateWaitMs(queuedCount, service) >= untilMs
+  }
+
   /** Time until the workers may take a request that has `queuedCount` others before it; 0 while a worker has no rate limit. */
   private _rateWaitMs (queuedCount: number, { workers, ratesPerS }: PlacementService): number {
     const isBound = workers.length > 0 && workers.every(({ workerId }) => ratesPerS.has(workerId))
