Streams: a failure in place of the rest of a stream breaks the answer off

A stream that had begun and went on at a worker which answered with a failure (500) ended as if complete, with the failure's body behind its events. The continuation now counts as a failed attempt: the next one goes on, or the answer is broken off, so that the caller takes the stream up again. The new test of wholePath failed before: the caller got 'piece 1' and 'failed' as a complete answer.

--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -3,6 +3,7 @@
   AttemptOutcome, type GrantRequest, type LogFields, type NextAction, type PlacementEnd, resolveNextAction, type Route, type RoutedService, RouteKind, type TurnEnd, type WorkerRegistration
 } from '@trefoilshunt/core'
 import { type IAnswerSink, type Refusal, RefusalReason, type RoutedRequest } from '../../common/routed/routedRequest.js'
+import type { WorkerAnswerHead } from '../../common/routed/workerClient.js'
 import { steadyNowMs } from '../steadyClock.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
@@ -201,7 +202,7 @@
         maxConnections: Math.max(2, Math.floor((this._service?.maxConnections ?? 64) / Math.max(1, nodeCount())))
       },
       listener: {
-        onHead: head => this._relay.handleHead(head),
+        onHead: head => this._onHead(head),
         onData: bytes => {
           const problem = this._relay.handleData(bytes)
           if (problem !== undefined) this._latestAttempt?.fail(problem)
@@ -213,6 +214,12 @@
     if (this._relay.isBackpressured) this._latestAttempt.setPaused(true)
   }
 
+  private _onHead (head: WorkerAnswerHead): void {
+    const continuesAnswer = this._relay.hasBegun
+    this._relay.handleHead(head)
+    if (continuesAnswer && !this._relay.isStream) this._latestAttempt?.fail(`status ${head.status} in place of the rest of the stream`)
+  }
+
   private get _isAttemptOpen (): boolean {
     return this._latestAttempt?.isOpen === true
   }
