--- /dev/null
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -0,0 +1,67 @@
+/** The gauges of a node, for its metrics endpoint. */
+import { monitorEventLoopDelay } from 'node:perf_hooks'
+import type { IWorkerRateLimits } from '@trefoilshunt/core'
+import { steadyNowMs } from '../steadyClock.js'
+import type { ClusterView } from './clusterView.js'
+import type { NodeDirectory } from './nodeDirectory.js'
+import type { PartitionHost } from './partitionHost.js'
+import type { PlacementCoordinator } from './placementCoordinator.js'
+import type { StreamOrigins } from './streamOrigins.js'
+
+const LOOP_DELAY_RESOLUTION_MS = 20
+const NS_PER_MS = 1e6
+const US_PER_S = 1e6
+
+export interface NodeGaugesOptions {
+  partitionHost: PartitionHost
+  directory: NodeDirectory
+  clusterView: ClusterView
+  coordinator: PlacementCoordinator
+  streamOrigins: StreamOrigins
+  rateLimits: IWorkerRateLimits
+}
+
+/**
+ * @example
+ * const gauges = new NodeGauges(options)
+ * gauges.start()
+ * metrics.render(gauges.read())
+ */
+export class NodeGauges {
+  private readonly _loopDelay = monitorEventLoopDelay({ resolution: LOOP_DELAY_RESOLUTION_MS })
+
+  constructor (private readonly _options: NodeGaugesOptions) {}
+
+  start (): void {
+    this._loopDelay.enable()
+  }
+
+  stop (): void {
+    this._loopDelay.disable()
+  }
+
+  /** Current values by name. */
+  read (): Record<string, number> {
+    const { partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, rateLimits } = this._options
+    const memory = process.memoryUsage()
+    const cpu = process.cpuUsage()
+    return {
+      live_nodes: directory.alive.length + 1,
+      load_report_age_ms: directory.meanStatusAgeMs,
+      partitions_served: served.length,
+      turns_held: served.reduce((total, owner) => total + owner.turnCount, 0),
+      turn_bytes_held: served.reduce((total, owner) => total + owner.turnBytes, 0),
+      programs_held: served.reduce((total, owner) => total + owner.programCount, 0),
+      rate_limited_workers: rateLimits.reports(steadyNowMs()).filter(({ limitPerS }) => limitPerS !== undefined).length,
+      stream_origins_held: streamOrigins.size,
+      placements_open: coordinator.openCount,
+      placements_queued: coordinator.queueLength,
+      append_backlog: served.reduce((total, owner) => total + owner.backlog, 0),
+      log_silence_ms: clusterView.sinceLogResponseMs,
+      resident_memory_bytes: memory.rss,
+      heap_used_bytes: memory.heapUsed,
+      event_loop_delay_p99_ms: this._loopDelay.percentile(99) / NS_PER_MS,
+      cpu_seconds: (cpu.user + cpu.system) / US_PER_S
+    }
+  }
+}
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -1,6 +1,5 @@
 /** A node that serves routed requests: creates and connects its parts, starts them and stops them in order. */
 import { randomBytes } from 'node:crypto'
-import { monitorEventLoopDelay } from 'node:perf_hooks'
 import {
   createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerRateLimits, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, type RateLimitReport, WorkerChoiceOptions
 } from '@trefoilshunt/core'
@@ -14,6 +13,7 @@
 import { PoisonRequestDetector } from './poisonRequestDetector.js'
 import { type IRoutedCodec, ClusterView } from './clusterView.js'
 import { NodeDirectory } from './nodeDirectory.js'
+import { NodeGauges } from './nodeGauges.js'
 import { OwnRates } from './ownRates.js'
 import { PartitionHost } from './partitionHost.js'
 import { PeerMesh, type PeerResponder } from './peerMesh.js'
@@ -89,7 +89,7 @@
   private readonly _poisonRequestDetector: PoisonRequestDetector
   private readonly _statusBroadcast: StatusBroadcast
   private readonly _callDependencies: RoutedCallDependencies
-  private readonly _loopDelay = monitorEventLoopDelay({ resolution: 20 })
+  private readonly _gauges: NodeGauges
   private _peerCleanupTimer: NodeJS.Timeout | undefined
   private _openRequestCount = 0
   private _isDraining = false
@@ -199,6 +199,7 @@
       _options.workers.closeConnections(address)
       write('workerLost', { worker: workerId, address, isDraining: this._registry.find(workerId)?.isDraining })
     })
+    this._gauges = new NodeGauges({ partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, rateLimits: this._rateLimits })
     this._callDependencies = {
       zone,
       rateLimits: this._rateLimits,
@@ -238,7 +239,7 @@
 
   /** Rejects if the peer address can't be bound. */
   async start (): Promise<void> {
-    this._loopDelay.enable()
+    this._gauges.start()
     await this._mesh.listen()
     this._write('info', 'nodeStarted', { incarnation: this._self.incarnation, zone: this._self.zone, peerAddress: this._self.peerAddress, callerAddress: this._self.callerAddress, partitions: this._options.partitionCount })
     for (const [index, peerAddress] of this._options.seedAddresses.entries()) {
@@ -294,7 +295,7 @@
     this._isStopped = true
     this._statusBroadcast.stop()
     clearInterval(this._peerCleanupTimer)
-    this._loopDelay.disable()
+    this._gauges.stop()
     this._clusterView.stop()
     this._partitionHost.close()
     this._coordinator.dispose()
@@ -304,30 +305,12 @@
 
   /** The content of the metrics endpoint. */
   renderMetrics (): string {
-    const memory = process.memoryUsage()
-    const cpu = process.cpuUsage()
-    const { served } = this._partitionHost
     return this.metrics.render({
       ready: Number(this.isReady),
       draining: Number(this._isDraining),
       open_requests: this._openRequestCount,
       document_version: this._routes.version,
-      live_nodes: this._directory.alive.length + 1,
-      load_report_age_ms: this._directory.meanStatusAgeMs,
-      partitions_served: served.length,
-      turns_held: served.reduce((total, owner) => total + owner.turnCount, 0),
-      turn_bytes_held: served.reduce((total, owner) => total + owner.turnBytes, 0),
-      programs_held: served.reduce((total, owner) => total + owner.programCount, 0),
-      rate_limited_workers: this._rateLimits.reports(steadyNowMs()).filter(({ limitPerS }) => limitPerS !== undefined).length,
-      stream_origins_held: this._streamOrigins.size,
-      placements_open: this._coordinator.openCount,
-      placements_queued: this._coordinator.queueLength,
-      append_backlog: served.reduce((total, owner) => total + owner.backlog, 0),
-      log_silence_ms: this._clusterView.sinceLogResponseMs,
-      resident_memory_bytes: memory.rss,
-      heap_used_bytes: memory.heapUsed,
-      event_loop_delay_p99_ms: this._loopDelay.percentile(99) / 1e6,
-      cpu_seconds: (cpu.user + cpu.system) / 1e6
+      ...this._gauges.read()
     })
   }
 
