--- /dev/null
+++ b/packages/core/src/common/paths/index.ts
@@ -0,0 +1,1 @@
+export * from './workerContact.js'
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -15,6 +15,7 @@
 import { NodeDirectory } from './nodeDirectory.js'
 import { NodeGauges } from './nodeGauges.js'
 import { OwnRates } from './ownRates.js'
+import { TrackedWorkerClient } from './paths/trackedWorkerClient.js'
 import { PartitionHost } from './partitionHost.js'
 import { PeerMesh, type PeerResponder } from './peerMesh.js'
 import { PlacementCoordinator } from './placementCoordinator.js'
@@ -78,6 +79,7 @@
   private readonly _registry: IWorkerRegistry
   private readonly _statistics: IWorkerStatistics
   private readonly _rateLimits: IWorkerRateLimits
+  private readonly _workers: TrackedWorkerClient
   private readonly _directory: NodeDirectory
   private readonly _mesh: PeerMesh
   private readonly _partitionHost: PartitionHost
@@ -106,6 +108,7 @@
     this._rateLimits = container.resolve<IWorkerRateLimits>(IWorkerRateLimits)
     const write = (event: string, fields: LogFields): void => this._write('info', event, fields)
     this._rateLimits.onDidChange(({ workerId, startedAtMs, limitPerS }) => write('workerRateLimit', { worker: workerId, startedAtMs, limitPerS, isLimited: limitPerS !== undefined }))
+    this._workers = new TrackedWorkerClient({ client: _options.workers, write })
     this._directory = new NodeDirectory({
       self: this._self,
       nowMs: steadyNowMs,
@@ -165,7 +168,7 @@
       sinceMembershipConfirmedMs: () => this._partitionHost.sinceLastJoinMs,
       write: (level, event, fields) => this._write(level, event, fields)
     })
-    _options.workers.onMisbehaved = (worker, detail) => {
+    this._workers.onMisbehaved = (worker, detail) => {
       this._statistics.recordFailure(worker, steadyNowMs())
       this._write('warn', 'workerMisbehaved', { worker, detail })
     }
@@ -196,10 +199,10 @@
       this._rateLimits.removeWorker(workerId)
       reporter.removeWorker(workerId)
       ownRates.removeWorker(workerId)
-      _options.workers.closeConnections(address)
+      this._workers.closeConnections(address)
       write('workerLost', { worker: workerId, address, isDraining: this._registry.find(workerId)?.isDraining })
     })
-    this._gauges = new NodeGauges({ partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, rateLimits: this._rateLimits })
+    this._gauges = new NodeGauges({ workers: this._workers, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, rateLimits: this._rateLimits })
     this._callDependencies = {
       zone,
       rateLimits: this._rateLimits,
@@ -212,7 +215,7 @@
       slots: this._slots,
       streamOrigins: this._streamOrigins,
       durations: new RouteDurations(),
-      workers: _options.workers,
+      workers: this._workers,
       turns: this._turns,
       poisonRequestDetector: this._poisonRequestDetector,
       metrics: this.metrics,
@@ -300,7 +303,7 @@
     this._partitionHost.close()
     this._coordinator.dispose()
     this._streamOrigins.dispose()
-    await Promise.all([this._mesh.close(), this._options.workers.close(), this._options.log.close()])
+    await Promise.all([this._mesh.close(), this._workers.close(), this._options.log.close()])
   }
 
   /** The content of the metrics endpoint. */
