--- a/packages/core/src/common/paths/index.ts
+++ b/packages/core/src/common/paths/index.ts
@@ -1,1 +1,2 @@
 export * from './workerContact.js'
+export * from './workerPaths.js'
--- a/packages/core/src/common/workers/workerRegistry.ts
+++ b/packages/core/src/common/workers/workerRegistry.ts
@@ -49,6 +49,8 @@
   markMisdirected (workerId: string, nowMs: number): void
   /** Workers of a service that may get new work. Also removes entries whose grace time has passed. */
   workersOf (service: string, nowMs: number): WorkerRegistration[]
+  /** The same for all services. */
+  allWorkers (nowMs: number): WorkerRegistration[]
   /** Software versions of the service's workers, registered now or within `VERSION_MEMORY_MS`, draining ones included. */
   softwareVersionsOf (service: string, nowMs: number): string[]
   /** Last registration of a worker, whether or not it may get new work; undefined when there is none. */
@@ -111,12 +113,16 @@
   }
 
   workersOf (service: string, nowMs: number): WorkerRegistration[] {
+    return this.allWorkers(nowMs).filter(worker => worker.service === service)
+  }
+
+  allWorkers (nowMs: number): WorkerRegistration[] {
     const workers: WorkerRegistration[] = []
     for (const [workerId, { registration, removedAtMs, misdirectedAtMs }] of this._entries) {
       if (misdirectedAtMs !== undefined && nowMs - misdirectedAtMs < MISDIRECTED_RETRY_MS) continue
       if (removedAtMs !== undefined && !this._mayHaveLapsed(nowMs)) {
         this._remove(workerId, nowMs)
-      } else if (registration.service === service && !registration.isDraining) {
+      } else if (!registration.isDraining) {
         workers.push(registration)
       }
     }
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -1,5 +1,6 @@
 /** Messages between the nodes that serve routed requests. Sent as MessagePack, because they carry prompts and answers as bytes. */
 import { type CachedPart, type GrantRequest, hash32, type KeyedRecord, type PlacementEnd, type PlacementRequest, type RateLimitReport, type RetainedTurn, type TurnEnd } from '@trefoilshunt/core'
+import type { CallFailure, WorkerAnswerHead, WorkerCall } from './workerClient.js'
 
 /** How a node can be reached. */
 export interface NodeAddress {
@@ -34,6 +35,8 @@
   /** Partitions that the node owns and serves, with the epoch of each. */
   owned: Array<[partition: number, epoch: number]>
   documentVersion: number
+  /** False while the sender is cut off from all workers; absent from nodes that relay no calls. */
+  reachesWorkers?: boolean
   /** Processor cores of the sender; nodes with more of them coordinate placements. */
   cores: number
   /** Time since the last response of the log to the sender. */
@@ -114,7 +117,23 @@
   | { type: 'queued' }
   | { type: 'refused', retryAfterMs: number }
 
+/** A call that a peer makes over its own links; it knows the address of the worker itself. */
+export type RelayedWorkerCall = Omit<WorkerCall, 'address' | 'maxConnections'>
+
+/** What a relayed call brings, in order; the last one is the end or the failure. */
+export type RelayReply =
+  | { type: 'relayHead', head: WorkerAnswerHead }
+  | { type: 'relayData', bytes: Uint8Array }
+  | { type: 'relayEnd' }
+  | { type: 'relayFailed', failure: CallFailure }
+
 export type PeerRequest =
+  /** Requests a call to a worker that the sender doesn't reach. `relayId` is unique among all nodes. */
+  | { type: 'relay', relayId: string, call: RelayedWorkerCall }
+  /** Bytes of the answer that the sender has passed on; more than a limited number of them is not sent ahead. Gets no reply. */
+  | { type: 'relayRead', relayId: string, bytes: number }
+  /** Ends a relayed call. Gets no reply. */
+  | { type: 'relayCancel', relayId: string }
   /** Requests a slot of a worker from the coordinator. */
   | { type: 'place', shard: ServiceShard, from: string, request: PlacementRequest }
   /** Returns a slot, or withdraws the request for one. Gets no reply. */
@@ -135,6 +154,7 @@
   | { type: 'topic', topic: string }
 
 export type PeerReply =
+  | RelayReply
   | GrantReply
   | EndReply
   | PlaceReply
--- a/packages/node/src/common/routed/workerClient.ts
+++ b/packages/node/src/common/routed/workerClient.ts
@@ -1,4 +1,5 @@
 /** The client for calls to workers, which a platform adapter implements. */
+import type { ProbeResult } from '@trefoilshunt/core'
 import type { HeaderList } from './routedRequest.js'
 
 export interface WorkerCall {
@@ -18,6 +19,8 @@
   lastEventId?: string
   /** Connections to this worker that this node may open. */
   maxConnections: number
+  /** True if the caller may repeat the request after a failure, so that an early one is better than an answer that hangs. */
+  isRepeatable: boolean
 }
 
 export interface WorkerAnswerHead {
@@ -31,12 +34,12 @@
 
 /** Why a call brought no complete answer. */
 export type CallFailure =
-  /** No byte of the request was sent. */
-  | { type: 'notSent', detail: string }
+  /** No byte of the request was sent. `isOwnLink` if this node has lost its links, which says nothing about the worker. */
+  | { type: 'notSent', detail: string, isOwnLink?: boolean }
   /** The worker reported that it did not run the request; `isMisdirected` if it isn't the worker that the call names. */
   | { type: 'refused', isMisdirected: boolean, detail: string, rateLimitPerS?: number }
   /** The call ended early after the request was sent; it may have run. */
-  | { type: 'broken', detail: string }
+  | { type: 'broken', detail: string, isOwnLink?: boolean }
 
 /** Receives the answer or the failure of one call. */
 export interface IWorkerCallListener {
@@ -50,6 +53,8 @@
 }
 
 export interface IOpenWorkerCall {
+  /** True once a byte of the request may have been sent. */
+  readonly isSent: boolean
   /** Aborts the call; no method of the listener is called afterwards. */
   abort (): void
   /** Stops reading the answer, apart from a limited amount that is already on its way, until `resume`. */
@@ -64,8 +69,10 @@
   call (call: WorkerCall, listener: IWorkerCallListener): IOpenWorkerCall
   /** True when a call to the address needs no new connection. */
   hasIdleConnection (address: string): boolean
-  /** Closes the connections to an address that no worker uses any more; calls in flight may finish. */
-  closeConnections (address: string): void
+  /** Closes the connections to an address that no worker uses any more, or to all addresses; calls in flight may finish. */
+  closeConnections (address?: string): void
+  /** Opens a connection to an address and closes it again. */
+  probe (address: string, timeoutMs: number): Promise<ProbeResult>
   /** Closes all connections at once; calls in flight fail. */
   close (): Promise<void>
 }
--- a/packages/node/src/node/routed/nodeDirectory.ts
+++ b/packages/node/src/node/routed/nodeDirectory.ts
@@ -104,12 +104,22 @@
     return this.alive.filter(status => !status.isDraining && status.rateLimitedShards?.includes(shardKey) === true).length
   }
 
-  /** Addresses, `host:port`, to which callers of a zone should connect: ready nodes of the zone if there are at least two, else of all zones. */
-  callerAddresses (zone: string | undefined, isSelfReady: boolean): string[] {
-    const ready = this.alive.filter(status => status.isReady && !status.isDraining).map(status => status.from)
-    if (isSelfReady) ready.push(this._options.self)
-    const nodesOfZone = ready.filter(address => address.zone === zone)
-    const chosen = nodesOfZone.length >= MIN_ZONE_NODES ? nodesOfZone : ready
+  /** Live peers that reach the workers and make calls to them for others. */
+  get relays (): string[] {
+    return this.alive.filter(status => status.isReady && !status.isDraining && status.reachesWorkers === true).map(({ from }) => from.node)
+  }
+
+  /**
+   * Addresses, `host:port`, to which callers of a zone should connect: ready nodes of the zone if there are at least two, else of all zones. Nodes that are
+   * cut off from the workers are left out while others are ready.
+   */
+  callerAddresses (zone: string | undefined, self: { isReady: boolean, reachesWorkers: boolean }): string[] {
+    const ready = this.alive.filter(status => status.isReady && !status.isDraining).map(({ from, reachesWorkers }) => ({ address: from, reachesWorkers: reachesWorkers !== false }))
+    if (self.isReady) ready.push({ address: this._options.self, reachesWorkers: self.reachesWorkers })
+    const reaching = ready.filter(({ reachesWorkers }) => reachesWorkers)
+    const usable = (reaching.length > 0 ? reaching : ready).map(({ address }) => address)
+    const nodesOfZone = usable.filter(address => address.zone === zone)
+    const chosen = nodesOfZone.length >= MIN_ZONE_NODES ? nodesOfZone : usable
     if (chosen.length <= MAX_ADDRESSES) return chosen.map(address => address.callerAddress)
     // Each answer starts at another node, so that callers are spread over all nodes.
     this._rotation = (this._rotation + MAX_ADDRESSES) % chosen.length
--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -5,7 +5,9 @@
 import type { ClusterView } from './clusterView.js'
 import type { NodeDirectory } from './nodeDirectory.js'
 import type { PartitionHost } from './partitionHost.js'
-import type { TrackedWorkerClient } from './paths/trackedWorkerClient.js'
+import type { RelayClient } from './paths/relayClient.js'
+import type { RelayServer } from './paths/relayServer.js'
+import type { WorkerLinks } from './paths/workerLinks.js'
 import type { PlacementCoordinator } from './placementCoordinator.js'
 import type { StreamOrigins } from './streamOrigins.js'
 
@@ -14,7 +16,9 @@
 const US_PER_S = 1e6
 
 export interface NodeGaugesOptions {
-  workers: TrackedWorkerClient
+  links: WorkerLinks
+  relays: RelayClient
+  relayServer: RelayServer
   partitionHost: PartitionHost
   directory: NodeDirectory
   clusterView: ClusterView
@@ -44,7 +48,7 @@
 
   /** Current values by name. */
   read (): Record<string, number> {
-    const { workers, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, rateLimits } = this._options
+    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, rateLimits } = this._options
     const memory = process.memoryUsage()
     const cpu = process.cpuUsage()
     return {
@@ -54,9 +58,12 @@
       turns_held: served.reduce((total, owner) => total + owner.turnCount, 0),
       turn_bytes_held: served.reduce((total, owner) => total + owner.turnBytes, 0),
       programs_held: served.reduce((total, owner) => total + owner.programCount, 0),
-      worker_silence_ms: workers.silenceMs,
-      worker_calls_waiting: workers.waitingCalls,
-      worker_connections_failed: workers.failedConnections,
+      worker_silence_ms: links.silenceMs,
+      worker_calls_waiting: links.waitingCalls,
+      worker_connections_failed: links.failedConnections,
+      cut_off: Number(links.isCutOff),
+      calls_relayed: relays.openCount,
+      calls_served_for_peers: relayServer.openCount,
       rate_limited_workers: rateLimits.reports(steadyNowMs()).filter(({ limitPerS }) => limitPerS !== undefined).length,
       stream_origins_held: streamOrigins.size,
       placements_open: coordinator.openCount,
--- /dev/null
+++ b/packages/node/src/node/routed/paths/relayServer.ts
@@ -0,0 +1,127 @@
+/** Calls workers for peers that don't reach them. */
+import type { IRouteTable, IWorkerRegistry, LogFields } from '@trefoilshunt/core'
+import type { PeerRequest, RelayedWorkerCall } from '../../../common/routed/routedPeerMessages.js'
+import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerAnswerHead } from '../../../common/routed/workerClient.js'
+import type { PeerRequester, PeerResponder } from '../peerMesh.js'
+import { connectionShareOf } from './connectionShare.js'
+import type { WorkerLinks } from './workerLinks.js'
+
+/** Calls for peers at the same time; with `MAX_UNREAD_BYTES` each, a bound on the memory that they take. */
+const MAX_CALLS = 512
+/** Bytes of an answer that are sent to the peer before it has passed them on. */
+const MAX_UNREAD_BYTES = 64 * 1024
+/** A call is ended this long after its deadline, in case the peer was lost without a sign. */
+const EXPIRY_GRACE_MS = 500
+
+export interface RelayServerOptions {
+  links: WorkerLinks
+  registry: IWorkerRegistry
+  routes: IRouteTable
+  /** Number of nodes among which the connections to a worker are divided. */
+  nodeCount: () => number
+  /** Counts a call as open, so that a stop waits for it, until the returned function is called. */
+  beginRequest: () => () => void
+  write: (event: string, fields: LogFields) => void
+}
+
+/**
+ * @example
+ * if (relayServer.handle(request, respond, requester)) return
+ */
+export class RelayServer {
+  private readonly _calls = new Map<string, ServedCall>()
+
+  constructor (private readonly _options: RelayServerOptions) {}
+
+  /** Calls for peers in progress. */
+  get openCount (): number {
+    return this._calls.size
+  }
+
+  /** Handles a request of a peer; false if it is another kind of request. */
+  handle (request: PeerRequest, respond: PeerResponder, requester: PeerRequester): boolean {
+    switch (request.type) {
+      case 'relay':
+        this._serve(request.relayId, request.call, respond, requester)
+        return true
+      case 'relayRead':
+        this._calls.get(request.relayId)?.recordRead(request.bytes)
+        return true
+      case 'relayCancel':
+        this._calls.get(request.relayId)?.cancel()
+        return true
+      default: return false
+    }
+  }
+
+  private _serve (relayId: string, call: RelayedWorkerCall, respond: PeerResponder, requester: PeerRequester): void {
+    const { links, registry, routes, nodeCount, beginRequest, write } = this._options
+    const worker = registry.find(call.workerId)
+    const problem = worker === undefined
+      ? 'the worker is not known here'
+      : this._calls.size >= MAX_CALLS ? 'too many calls for peers' : links.mayCall(worker) ? undefined : 'the worker is not reached from here either'
+    if (worker === undefined || problem !== undefined) {
+      write('relayRefused', { requestId: call.requestId, worker: call.workerId, detail: problem })
+      respond({ type: 'relayFailed', failure: { type: 'notSent', detail: problem ?? '' } }, true)
+      return
+    }
+    const endRequest = beginRequest()
+    const served = new ServedCall(respond, () => {
+      this._calls.delete(relayId)
+      closing.dispose()
+      clearTimeout(timer)
+      endRequest()
+    })
+    const closing = requester.onDidClose(() => served.cancel())
+    const timer = setTimeout(() => served.cancel(), call.deadlineMs + EXPIRY_GRACE_MS)
+    this._calls.set(relayId, served)
+    served.open = links.call({ ...call, address: worker.address, maxConnections: connectionShareOf(routes.findService(worker.service), nodeCount()) }, served)
+  }
+}
+
+/** One call for a peer. */
+class ServedCall implements IWorkerCallListener {
+  open: IOpenWorkerCall | undefined
+  private _unreadBytes = 0
+  private _isEnded = false
+
+  constructor (private readonly _respond: PeerResponder, private readonly _onEnded: () => void) {}
+
+  onHead (head: WorkerAnswerHead): void {
+    this._respond({ type: 'relayHead', head }, false)
+  }
+
+  onData (bytes: Uint8Array): void {
+    this._unreadBytes += bytes.length
+    this._respond({ type: 'relayData', bytes }, false)
+    if (this._unreadBytes > MAX_UNREAD_BYTES) this.open?.pause()
+  }
+
+  onEnd (): void {
+    this._end()
+    this._respond({ type: 'relayEnd' }, true)
+  }
+
+  onFailed (failure: CallFailure): void {
+    this._end()
+    this._respond({ type: 'relayFailed', failure }, true)
+  }
+
+  recordRead (bytes: number): void {
+    const wasFull = this._unreadBytes > MAX_UNREAD_BYTES
+    this._unreadBytes -= bytes
+    if (wasFull && this._unreadBytes <= MAX_UNREAD_BYTES) this.open?.resume()
+  }
+
+  cancel (): void {
+    if (this._isEnded) return
+    this.open?.abort()
+    this.onFailed({ type: 'broken', detail: 'cancelled' })
+  }
+
+  private _end (): void {
+    if (this._isEnded) return
+    this._isEnded = true
+    this._onEnded()
+  }
+}
--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -1,5 +1,6 @@
 /** Connections between the nodes: every node opens a connection to every other node and sends its status and requests over it. */
 import { createConnection, createServer, type Server, type Socket } from 'node:net'
+import { Emitter, type Event } from '@trefoilshunt/core'
 import { Packr } from 'msgpackr'
 import type { NodeAddress, NodeStatus, PeerReply, PeerRequest } from '../../common/routed/routedPeerMessages.js'
 import { steadyNowMs } from '../steadyClock.js'
@@ -31,10 +32,15 @@
 /** Sends a reply to one request; none may follow one with `isLast`. */
 export type PeerResponder = (reply: PeerReply, isLast: boolean) => void
 
+/** The connection on which a request came. */
+export interface PeerRequester {
+  readonly onDidClose: Event<void>
+}
+
 export interface PeerMeshOptions {
   self: NodeAddress
   onStatus: (status: NodeStatus) => void
-  onRequest: (request: PeerRequest, respond: PeerResponder) => void
+  onRequest: (request: PeerRequest, respond: PeerResponder, requester: PeerRequester) => void
   /** Called when the connection that this node opened to a peer is established. */
   onConnected: (peer: string) => void
   /** Called when an established connection is closed, for whichever reason. */
@@ -257,7 +263,12 @@
     socket.setNoDelay(true)
     // The side that opened a connection reports its loss.
     socket.on('error', () => {})
-    socket.on('close', () => this._accepted.delete(socket))
+    const closed = new Emitter<void>()
+    const requester = { onDidClose: closed.event }
+    socket.on('close', () => {
+      this._accepted.delete(socket)
+      closed.fire()
+    })
     const acknowledgement = this._encode({ t: 'p' })
     this._readFrames(socket, frame => {
       if (frame.t === 's') {
@@ -266,7 +277,7 @@
       } else if (frame.t === 'q') {
         this._options.onRequest(frame.q, (reply, isLast) => {
           if (!socket.destroyed) socket.write(this._encode({ t: 'r', i: frame.i, r: reply, l: isLast }))
-        })
+        }, requester)
       }
     })
   }
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -6,6 +6,7 @@
 import type { WorkerAnswerHead } from '../../common/routed/workerClient.js'
 import { steadyNowMs } from '../steadyClock.js'
 import { AnswerRelay } from './answerRelay.js'
+import { connectionShareOf } from './paths/connectionShare.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
 import { StreamContinuation } from './streamContinuation.js'
 import type { GrantedTurn, GrantOutcome } from './turnService.js'
@@ -155,6 +156,7 @@
           this._service = selection.service
           return this._send(selection.worker, selection.release)
         case 'refused': return this._endWithoutAnswer(next, 'no worker can take the request in time', RefusalReason.Overloaded, selection.retryAfterMs)
+        case 'unreachable': return this._endWithoutAnswer(next, 'no node reaches the workers', RefusalReason.NoWorker, selection.retryAfterMs)
         case 'noWorker': return this._endWithoutAnswer(next, 'no worker is available', RefusalReason.NoWorker)
       }
     })
@@ -199,7 +201,8 @@
         deadlineMs: Math.max(1, Math.floor(this._timeLeftMs)),
         urgency: this._service?.engine === undefined ? undefined : this._urgency,
         lastEventId: this._relay.lastEventId,
-        maxConnections: Math.max(2, Math.floor((this._service?.maxConnections ?? 64) / Math.max(1, nodeCount())))
+        maxConnections: connectionShareOf(this._service, nodeCount()),
+        isRepeatable: this._route.kind !== RouteKind.Unsafe
       },
       listener: {
         onHead: head => this._onHead(head),
--- a/packages/node/src/node/routed/routedCallDependencies.ts
+++ b/packages/node/src/node/routed/routedCallDependencies.ts
@@ -1,8 +1,8 @@
 /** The objects of a node that handle its routed requests. */
 import type { IRouteTable, IWorkerChoice, IWorkerRateLimits, IWorkerRegistry, IWorkerStatistics, LogFields } from '@trefoilshunt/core'
 import type { Metrics } from '../../common/metrics.js'
-import type { IWorkerClient } from '../../common/routed/workerClient.js'
 import type { OwnRates } from './ownRates.js'
+import type { IWorkerCaller } from './paths/workerGateway.js'
 import type { PoisonRequestDetector } from './poisonRequestDetector.js'
 import type { RateLimitReporter } from './rateLimitReporter.js'
 import type { RouteDurations } from './routeDurations.js'
@@ -25,7 +25,7 @@
   slots: SlotClient
   streamOrigins: StreamOrigins
   durations: RouteDurations
-  workers: IWorkerClient
+  workers: IWorkerCaller
   turns: TurnService
   poisonRequestDetector: PoisonRequestDetector
   metrics: Metrics
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -15,9 +15,12 @@
 import { NodeDirectory } from './nodeDirectory.js'
 import { NodeGauges } from './nodeGauges.js'
 import { OwnRates } from './ownRates.js'
-import { TrackedWorkerClient } from './paths/trackedWorkerClient.js'
+import { RelayClient } from './paths/relayClient.js'
+import { RelayServer } from './paths/relayServer.js'
+import { WorkerGateway } from './paths/workerGateway.js'
+import { WorkerLinks } from './paths/workerLinks.js'
 import { PartitionHost } from './partitionHost.js'
-import { PeerMesh, type PeerResponder } from './peerMesh.js'
+import { PeerMesh, type PeerRequester, type PeerResponder } from './peerMesh.js'
 import { PlacementCoordinator } from './placementCoordinator.js'
 import { RateLimitReporter } from './rateLimitReporter.js'
 import { RouteDurations } from './routeDurations.js'
@@ -79,7 +82,8 @@
   private readonly _registry: IWorkerRegistry
   private readonly _statistics: IWorkerStatistics
   private readonly _rateLimits: IWorkerRateLimits
-  private readonly _workers: TrackedWorkerClient
+  private readonly _links: WorkerLinks
+  private readonly _relayServer: RelayServer
   private readonly _directory: NodeDirectory
   private readonly _mesh: PeerMesh
   private readonly _partitionHost: PartitionHost
@@ -108,7 +112,8 @@
     this._rateLimits = container.resolve<IWorkerRateLimits>(IWorkerRateLimits)
     const write = (event: string, fields: LogFields): void => this._write('info', event, fields)
     this._rateLimits.onDidChange(({ workerId, startedAtMs, limitPerS }) => write('workerRateLimit', { worker: workerId, startedAtMs, limitPerS, isLimited: limitPerS !== undefined }))
-    this._workers = new TrackedWorkerClient({ client: _options.workers, write })
+    this._links = new WorkerLinks({ client: _options.workers, registry: this._registry, random: container.resolve<IRandom>(IRandom), hasRelay: () => relays.isAvailable, write })
+    this._links.onDidChange(() => this._statusBroadcast.send())
     this._directory = new NodeDirectory({
       self: this._self,
       nowMs: steadyNowMs,
@@ -127,7 +132,7 @@
     this._mesh = new PeerMesh({
       self: this._self,
       onStatus: status => this._applyStatus(status),
-      onRequest: (request, respond) => this._handlePeerRequest(request, respond),
+      onRequest: (request, respond, requester) => this._handlePeerRequest(request, respond, requester),
       onConnected: peer => write('peerConnected', { peer }),
       onDisconnected: (peer, detail) => {
         write('peerLost', { peer, detail })
@@ -168,10 +173,12 @@
       sinceMembershipConfirmedMs: () => this._partitionHost.sinceLastJoinMs,
       write: (level, event, fields) => this._write(level, event, fields)
     })
-    this._workers.onMisbehaved = (worker, detail) => {
+    this._links.onMisbehaved = (worker, detail) => {
       this._statistics.recordFailure(worker, steadyNowMs())
       this._write('warn', 'workerMisbehaved', { worker, detail })
     }
+    const relays = new RelayClient({ node, incarnation: this._self.incarnation, directory: this._directory, mesh: this._mesh, write })
+    this._relayServer = new RelayServer({ links: this._links, registry: this._registry, routes: this._routes, nodeCount: () => this._directory.alive.length + 1, beginRequest: () => this.beginRequest(), write })
     this._slots = new SlotClient({
       node,
       incarnation: this._self.incarnation,
@@ -193,16 +200,17 @@
     })
     const reporter = new RateLimitReporter({ rateLimits: this._rateLimits, report: (worker, report) => this._slots.reportRateLimit(worker, report) })
     const ownRates = new OwnRates({ rateLimits: this._rateLimits, nodeCount: () => this._directory.size + 1, random: container.resolve<IRandom>(IRandom) })
-    this._registry.onDidLoseWorker(({ workerId, address }) => {
+    this._registry.onDidLoseWorker(worker => {
+      const { workerId, address } = worker
       this._statistics.removeWorker(workerId)
       this._coordinator.removeWorker(workerId)
       this._rateLimits.removeWorker(workerId)
       reporter.removeWorker(workerId)
       ownRates.removeWorker(workerId)
-      this._workers.closeConnections(address)
+      this._links.removeWorker(worker)
       write('workerLost', { worker: workerId, address, isDraining: this._registry.find(workerId)?.isDraining })
     })
-    this._gauges = new NodeGauges({ workers: this._workers, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, rateLimits: this._rateLimits })
+    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, rateLimits: this._rateLimits })
     this._callDependencies = {
       zone,
       rateLimits: this._rateLimits,
@@ -215,7 +223,7 @@
       slots: this._slots,
       streamOrigins: this._streamOrigins,
       durations: new RouteDurations(),
-      workers: this._workers,
+      workers: new WorkerGateway(this._links, relays),
       turns: this._turns,
       poisonRequestDetector: this._poisonRequestDetector,
       metrics: this.metrics,
@@ -272,7 +280,7 @@
 
   /** Addresses, `host:port`, to which callers of a zone should connect. */
   callerAddresses (zone: string | undefined): string[] {
-    return this._directory.callerAddresses(zone, this.isReady)
+    return this._directory.callerAddresses(zone, { isReady: this.isReady, reachesWorkers: !this._links.isCutOff })
   }
 
   /** Drains this node for a planned stop: resolves after at least 3 s, when no request is open and the partitions are handed over, or shortly before the grace period ends. Then call `close`. */
@@ -303,7 +311,7 @@
     this._partitionHost.close()
     this._coordinator.dispose()
     this._streamOrigins.dispose()
-    await Promise.all([this._mesh.close(), this._workers.close(), this._options.log.close()])
+    await Promise.all([this._mesh.close(), this._links.close(), this._options.log.close()])
   }
 
   /** The content of the metrics endpoint. */
@@ -341,6 +349,7 @@
       owned: this._partitionHost.served.map(owner => [owner.partition, owner.epoch]),
       documentVersion: this._routes.version,
       cores: this._cores,
+      reachesWorkers: !this._links.isCutOff,
       logSilenceMs: Math.round(this._clusterView.sinceLogResponseMs),
       load: this._statistics.ownLoad(),
       crashes: crashes.length === 0 ? undefined : crashes,
@@ -358,8 +367,8 @@
     if (status.documentVersion > this._routes.version) void this._clusterView.fetchDocument(status.from.node)
   }
 
-  private _handlePeerRequest (request: PeerRequest, respond: PeerResponder): void {
-    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond)) return
+  private _handlePeerRequest (request: PeerRequest, respond: PeerResponder, requester: PeerRequester): void {
+    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond) || this._relayServer.handle(request, respond, requester)) return
     switch (request.type) {
       case 'place': return this._coordinator.place(request.shard, request.from, request.request, respond)
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
--- a/packages/node/src/node/routed/statusBroadcast.ts
+++ b/packages/node/src/node/routed/statusBroadcast.ts
@@ -61,7 +61,7 @@
 }
 
 /** Digest of the fields whose changes are sent at the next check: peers act on them for callers or for workers. */
-function digestOf ({ isReady, isDraining, documentVersion, owned, rateLimitedShards = [], rateLimits = [] }: ReturnType<StatusBroadcastOptions['compose']>): string {
+function digestOf ({ isReady, isDraining, reachesWorkers, documentVersion, owned, rateLimitedShards = [], rateLimits = [] }: ReturnType<StatusBroadcastOptions['compose']>): string {
   const limits = rateLimits.flatMap(({ workerId, startedAtMs, limitPerS }) => [workerId, startedAtMs, limitPerS])
-  return [isReady, isDraining, documentVersion, ...owned.flat(), ...rateLimitedShards, ...limits].join()
+  return [isReady, isDraining, reachesWorkers, documentVersion, ...owned.flat(), ...rateLimitedShards, ...limits].join()
 }
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -114,6 +114,8 @@
       dependencies.registry.markMisdirected(worker.workerId, steadyNowMs())
       this._failureSeverity = 1
       dependencies.write('workerDenied', { worker: worker.workerId, address: worker.address })
+    } else if (failure.type !== 'refused' && failure.isOwnLink === true) {
+      this._failureSeverity = 0
     } else {
       this._recordFailure(outcome === AttemptOutcome.Refused ? ANSWERED_SEVERITY : 1)
     }
--- a/packages/node/src/node/routed/workerSelector.ts
+++ b/packages/node/src/node/routed/workerSelector.ts
@@ -9,6 +9,9 @@
 /** Retry-after while there is no coordinator and the workers' rate limits bind; a coordinator that is not replying is asked again after a second. */
 const RATE_LIMITED_RETRY_AFTER_MS = 1_000
 
+/** Retry-after while no node reaches the workers; the links are probed several times meanwhile. */
+const UNREACHABLE_RETRY_AFTER_MS = 500
+
 /** What is known of the request when an attempt begins. */
 export interface AttemptState {
   /** Parts of the prompt that workers are known to cache. */
@@ -28,6 +31,8 @@
   /** All slots are taken, or the workers' rate limits bind, for longer than the request can wait. */
   | { type: 'refused', retryAfterMs: number }
   | { type: 'noWorker' }
+  /** No node reaches the workers. */
+  | { type: 'unreachable', retryAfterMs: number }
 
 export interface WorkerSelectorOptions {
   dependencies: RoutedCallDependencies
@@ -49,6 +54,10 @@
 
   /** Calls `onSelected` once, at once for workers that this node selects by itself, or never after `cancel`. */
   select (state: AttemptState, onSelected: (selection: WorkerSelection) => void): void {
+    if (!this._options.dependencies.workers.isAvailable) {
+      onSelected({ type: 'unreachable', retryAfterMs: UNREACHABLE_RETRY_AFTER_MS })
+      return
+    }
     const service = this._drawCoordinatedService(state)
     if (service === undefined) onSelected(this._selectHere(state))
     else void this._selectByCoordinator(service, state, onSelected)
--- a/packages/node/test/node/routed/nodeDirectory.test.ts
+++ b/packages/node/test/node/routed/nodeDirectory.test.ts
@@ -35,7 +35,7 @@
   assert.is(directory.ownerOf(3), 'peer')
   directory.markDisconnected('peer')
   assert.is(directory.ownerOf(3), undefined)
-  assert.equal(directory.callerAddresses('a', true), ['self'])
+  assert.equal(directory.callerAddresses('a', { isReady: true, reachesWorkers: true }), ['self'])
   directory.applyStatus(createStatus('peer', { owned: [[3, 7]] }))
   assert.is(directory.ownerOf(3), 'peer')
 })
@@ -45,7 +45,7 @@
   for (let index = 0; index < 150; index++) directory.applyStatus(createStatus(`n${index}`))
   const timesReturned = new Map<string, number>()
   for (let round = 0; round < 30; round++) {
-    const addresses = directory.callerAddresses('a', false)
+    const addresses = directory.callerAddresses('a', { isReady: false, reachesWorkers: true })
     assert.is(new Set(addresses).size, 64)
     for (const address of addresses) timesReturned.set(address, (timesReturned.get(address) ?? 0) + 1)
   }
--- a/packages/node/test/node/routed/workerSelector.test.ts
+++ b/packages/node/test/node/routed/workerSelector.test.ts
@@ -20,7 +20,7 @@
     ownRates: { filter: (workers: WorkerRegistration[]) => workers, take: () => {} },
     choice: { chooseWorker: ({ candidates }: { candidates: WorkerRegistration[] }) => candidates[0] },
     durations: { expectedMs: () => 100 },
-    workers: { hasIdleConnection: () => true },
+    workers: { isAvailable: true, hasIdleConnection: () => true },
     slots: { request: () => ({ outcome: Promise.resolve(outcome), cancel: () => {} }) },
     metrics: new Metrics()
   } as unknown as RoutedCallDependencies
