--- a/packages/node/src/node/routed/paths/workerLinks.ts
+++ b/packages/node/src/node/routed/paths/workerLinks.ts
@@ -1,5 +1,5 @@
 /** This node's own links to the workers: makes calls over them, notices when they are lost, and probes them until they are back. */
-import { type CutOffChange, type Event, type IRandom, type IWorkerRegistry, type LogFields, type WorkerProbe, WorkerPaths, type WorkerRegistration } from '@trefoilshunt/core'
+import { type CutOffChange, type Event, type IRandom, type IWorkerRegistry, type LogFields, type ProbeResult, type WorkerProbe, WorkerPaths, type WorkerRegistration } from '@trefoilshunt/core'
 import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, IWorkerClient, WorkerCall } from '../../../common/routed/workerClient.js'
 import { steadyNowMs } from '../../steadyClock.js'
 import { DirectCall } from './directCall.js'
@@ -7,6 +7,8 @@
 const CHECK_PERIOD_MS = 50
 /** Longer than a connection takes between regions. */
 const PROBE_TIMEOUT_MS = 200
+/** Time limit of a probe whose result is not urgent. */
+const SINGLE_PROBE_TIMEOUT_MS = 300
 
 export interface WorkerLinksOptions {
   client: IWorkerClient
@@ -83,6 +85,11 @@
     return directCall
   }
 
+  /** Connects to a worker over this node's links. */
+  async probe ({ address }: Pick<WorkerRegistration, 'address'>): Promise<ProbeResult> {
+    return await this._options.client.probe(address, SINGLE_PROBE_TIMEOUT_MS)
+  }
+
   hasIdleConnection (address: string): boolean {
     return this._options.client.hasIdleConnection(address)
   }
--- a/packages/node/src/node/routed/poisonRequestDetector.ts
+++ b/packages/node/src/node/routed/poisonRequestDetector.ts
@@ -1,16 +1,12 @@
 /** Detects requests that crash the workers which run them, from crashes observed by all nodes, and quarantines them. */
 import { createHash } from 'node:crypto'
-import { createConnection } from 'node:net'
-import { SuspectRequests, type LogFields, type WorkerRegistration } from '@trefoilshunt/core'
+import { type LogFields, ProbeResult, SuspectRequests, type WorkerRegistration } from '@trefoilshunt/core'
 import type { ObservedCrash } from '../../common/routed/routedPeerMessages.js'
 import type { RoutedRequest } from '../../common/routed/routedRequest.js'
 import { steadyNowMs } from '../steadyClock.js'
-import { splitAddress } from './peerMesh.js'
 
 /** A request may be at a worker during two crashes by chance; the requirements limit how many workers it may reach after the third. */
 const CRASHES_TO_QUARANTINE = 3
-/** Time limit of the connection that checks for a crash: the address of a crashed worker refuses connections for seconds. */
-const PROBE_TIMEOUT_MS = 300
 /** Crashes of workers closer together than this have another cause than one request and count once. */
 const SPACING_MS = 500
 /** Crashes that this node observed are reported to its peers for this long. Crashes with a request that was served are ignored for as long. */
@@ -20,12 +16,14 @@
 export interface PoisonRequestDetectorOptions {
   /** Called when this node has observed a crash, which its peers should learn at once. */
   onCrashObserved: () => void
+  /** Connects to a worker: the address of a crashed one refuses connections for seconds. */
+  probe: (worker: WorkerRegistration) => Promise<ProbeResult>
   write: (event: string, fields: LogFields) => void
 }
 
 /**
  * @example
- * const detector = new PoisonRequestDetector({ onCrashObserved, write })
+ * const detector = new PoisonRequestDetector({ onCrashObserved, probe, write })
  * if (detector.isQuarantined(request)) refuse()
  */
 export class PoisonRequestDetector {
@@ -50,7 +48,7 @@
 
   /** Handles the loss of a connection to a worker during a request: a crash, if the worker's address refuses connections now. */
   async handleBrokenRequest (request: RoutedRequest, worker: WorkerRegistration): Promise<void> {
-    if (!await refusesConnections(worker.address)) return
+    if (await this._options.probe(worker) !== ProbeResult.Refused) return
     const crash = { fingerprint: fingerprintOf(request), worker: `${worker.workerId}@${worker.startedAtMs}`, atMs: steadyNowMs() }
     this._options.write('workerCrashed', { requestId: request.requestId, worker: worker.workerId, address: worker.address, fingerprint: crash.fingerprint })
     this._observed.push(crash)
@@ -85,16 +83,3 @@
 function fingerprintOf ({ callerAddress, method, host, path, body }: RoutedRequest): string {
   return createHash('sha256').update(`${callerAddress} ${method} ${host} ${path}\n`).update(body).digest('base64url')
 }
-
-async function refusesConnections (address: string): Promise<boolean> {
-  return await new Promise(resolve => {
-    const socket = createConnection({ ...splitAddress(address), timeout: PROBE_TIMEOUT_MS })
-    const resolveProbe = (isRefused: boolean): void => {
-      socket.destroy()
-      resolve(isRefused)
-    }
-    socket.on('connect', () => resolveProbe(false))
-    socket.on('timeout', () => resolveProbe(false))
-    socket.on('error', (error: NodeJS.ErrnoException) => resolveProbe(error.code === 'ECONNREFUSED'))
-  })
-}
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -155,7 +155,7 @@
       onChanged: () => this._statusBroadcast.send(),
       write
     })
-    this._poisonRequestDetector = new PoisonRequestDetector({ onCrashObserved: () => this._statusBroadcast.send(), write })
+    this._poisonRequestDetector = new PoisonRequestDetector({ onCrashObserved: () => this._statusBroadcast.send(), probe: async worker => await this._links.probe(worker), write })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._partitionHost, mesh: this._mesh, directory: this._directory, write })
     this._coordinator = new PlacementCoordinator({ routes: this._routes, registry: this._registry, statistics: this._statistics, rateLimits: this._rateLimits, otherCoordinatorCount: key => this._directory.coordinatorCount(key), random: container.resolve<IRandom>(IRandom), write })
     const { documentTopic, documentKey, workerTopic, codec } = _options
