--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -1,5 +1,5 @@
 /** Messages between the nodes that serve routed requests. Sent as MessagePack, because they carry prompts and answers as bytes. */
-import { type CachedPart, type GrantRequest, hash32, type KeyedRecord, type PlacementEnd, type PlacementRequest, type RateLimitReport, type RetainedTurn, type TurnEnd } from '@trefoilshunt/core'
+import { type CachedPart, type GrantRequest, hash32, type KeyedRecord, type PlacementEnd, type PlacementRequest, type ProbeResult, type RateLimitReport, type RetainedTurn, type TurnEnd } from '@trefoilshunt/core'
 import type { CallFailure, WorkerAnswerHead, WorkerCall } from './workerClient.js'
 
 /** How a node can be reached. */
@@ -132,6 +132,8 @@
   | { type: 'relay', relayId: string, call: RelayedWorkerCall }
   /** Bytes of the answer that the sender has passed on; more than a limited number of them is not sent ahead. Gets no reply. */
   | { type: 'relayRead', relayId: string, bytes: number }
+  /** Requests a connection to a worker, to learn whether the sender's links or the worker failed. */
+  | { type: 'probeWorker', workerId: string }
   /** Ends a relayed call. Gets no reply. */
   | { type: 'relayCancel', relayId: string }
   /** Requests a slot of a worker from the coordinator. */
@@ -155,6 +157,7 @@
 
 export type PeerReply =
   | RelayReply
+  | { type: 'workerProbed', result: ProbeResult }
   | GrantReply
   | EndReply
   | PlaceReply
--- a/packages/node/src/node/routed/paths/relayClient.ts
+++ b/packages/node/src/node/routed/paths/relayClient.ts
@@ -1,5 +1,5 @@
 /** Has peers call workers that this node doesn't reach. */
-import type { LogFields } from '@trefoilshunt/core'
+import { type LogFields, ProbeResult } from '@trefoilshunt/core'
 import type { PeerReply, RelayedWorkerCall } from '../../../common/routed/routedPeerMessages.js'
 import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerCall } from '../../../common/routed/workerClient.js'
 import type { NodeDirectory } from '../nodeDirectory.js'
@@ -9,6 +9,7 @@
 const MAX_PEERS = 2
 /** A peer ends the call itself at its deadline; its last reply arrives within this time. */
 const LAST_REPLY_GRACE_MS = 1_000
+const PROBE_REPLY_TIMEOUT_MS = 600
 
 export interface RelayClientOptions {
   node: string
@@ -60,6 +61,14 @@
     return relayedCall
   }
 
+  /** What a peer finds when it connects to the worker; undefined without a peer that reaches the workers. */
+  async probe (workerId: string): Promise<ProbeResult | undefined> {
+    const peer = this._selectPeer(new Set())
+    if (peer === undefined) return undefined
+    const reply = await this._options.mesh.requestOnce(peer, { type: 'probeWorker', workerId }, PROBE_REPLY_TIMEOUT_MS)
+    return reply?.type === 'workerProbed' ? reply.result : ProbeResult.Silent
+  }
+
   private _peers (): string[] {
     return this._options.directory.relays.filter(peer => this._options.mesh.isConnected(peer))
   }
--- a/packages/node/src/node/routed/paths/relayServer.ts
+++ b/packages/node/src/node/routed/paths/relayServer.ts
@@ -1,5 +1,5 @@
 /** Calls workers for peers that don't reach them. */
-import type { IRouteTable, IWorkerRegistry, LogFields } from '@trefoilshunt/core'
+import { type IRouteTable, type IWorkerRegistry, type LogFields, ProbeResult } from '@trefoilshunt/core'
 import type { PeerRequest, RelayedWorkerCall } from '../../../common/routed/routedPeerMessages.js'
 import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerAnswerHead } from '../../../common/routed/workerClient.js'
 import type { PeerRequester, PeerResponder } from '../peerMesh.js'
@@ -44,6 +44,9 @@
       case 'relay':
         this._serve(request.relayId, request.call, respond, requester)
         return true
+      case 'probeWorker':
+        void this._probe(request.workerId, respond)
+        return true
       case 'relayRead':
         this._calls.get(request.relayId)?.recordRead(request.bytes)
         return true
@@ -54,6 +57,13 @@
     }
   }
 
+  private async _probe (workerId: string, respond: PeerResponder): Promise<void> {
+    const worker = this._options.registry.find(workerId)
+    // A node that is cut off can't tell a crashed worker from its own links.
+    const isKnown = worker !== undefined && !this._options.links.isCutOff
+    respond({ type: 'workerProbed', result: isKnown ? await this._options.links.probe(worker) : ProbeResult.Silent }, true)
+  }
+
   private _serve (relayId: string, call: RelayedWorkerCall, respond: PeerResponder, requester: PeerRequester): void {
     const { links, registry, routes, nodeCount, beginRequest, write } = this._options
     const worker = registry.find(call.workerId)
--- a/packages/node/src/node/routed/paths/workerGateway.ts
+++ b/packages/node/src/node/routed/paths/workerGateway.ts
@@ -1,5 +1,5 @@
 /** Calls workers over this node's own links or, where these are lost, through peers. */
-import type { WorkerRegistration } from '@trefoilshunt/core'
+import { ProbeResult, type WorkerRegistration } from '@trefoilshunt/core'
 import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerCall } from '../../../common/routed/workerClient.js'
 import { steadyNowMs } from '../../steadyClock.js'
 import type { RelayClient } from './relayClient.js'
@@ -36,6 +36,14 @@
     return gatewayCall
   }
 
+  /** Connects to a worker. `Refused` only if a peer that reaches the workers is refused too: otherwise this node's links may have failed. */
+  async probe (worker: WorkerRegistration): Promise<ProbeResult> {
+    // Without a peer to ask, a node that is cut off can't tell a crashed worker from its own links.
+    const own = this._links.isCutOff ? ProbeResult.Silent : await this._links.probe(worker)
+    const isUncertain = own === ProbeResult.Refused || this._links.isCutOff
+    return isUncertain ? await this._relays.probe(worker.workerId) ?? own : own
+  }
+
   hasIdleConnection (address: WorkerRegistration['address']): boolean {
     return this._links.isCutOff || this._links.hasIdleConnection(address)
   }
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -155,7 +155,7 @@
       onChanged: () => this._statusBroadcast.send(),
       write
     })
-    this._poisonRequestDetector = new PoisonRequestDetector({ onCrashObserved: () => this._statusBroadcast.send(), probe: async worker => await this._links.probe(worker), write })
+    this._poisonRequestDetector = new PoisonRequestDetector({ onCrashObserved: () => this._statusBroadcast.send(), probe: async worker => await gateway.probe(worker), write })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._partitionHost, mesh: this._mesh, directory: this._directory, write })
     this._coordinator = new PlacementCoordinator({ routes: this._routes, registry: this._registry, statistics: this._statistics, rateLimits: this._rateLimits, otherCoordinatorCount: key => this._directory.coordinatorCount(key), random: container.resolve<IRandom>(IRandom), write })
     const { documentTopic, documentKey, workerTopic, codec } = _options
@@ -178,6 +178,7 @@
       this._write('warn', 'workerMisbehaved', { worker, detail })
     }
     const relays = new RelayClient({ node, incarnation: this._self.incarnation, directory: this._directory, mesh: this._mesh, write })
+    const gateway = new WorkerGateway(this._links, relays)
     this._relayServer = new RelayServer({ links: this._links, registry: this._registry, routes: this._routes, nodeCount: () => this._directory.alive.length + 1, beginRequest: () => this.beginRequest(), write })
     this._slots = new SlotClient({
       node,
@@ -223,7 +224,7 @@
       slots: this._slots,
       streamOrigins: this._streamOrigins,
       durations: new RouteDurations(),
-      workers: new WorkerGateway(this._links, relays),
+      workers: gateway,
       turns: this._turns,
       poisonRequestDetector: this._poisonRequestDetector,
       metrics: this.metrics,
