--- a/packages/node/src/node/routed/paths/relayClient.ts
+++ b/packages/node/src/node/routed/paths/relayClient.ts
@@ -10,6 +10,8 @@
 /** A peer ends the call itself at its deadline; its last reply arrives within this time. */
 const LAST_REPLY_GRACE_MS = 1_000
 const PROBE_REPLY_TIMEOUT_MS = 600
+/** Bytes passed on are reported in steps of this size; a part of what a peer sends ahead. */
+const READ_REPORT_BYTES = 16 * 1024
 
 export interface RelayClientOptions {
   node: string
@@ -106,7 +108,7 @@
   private _relayId = ''
   private _isEnded = false
   private _isPaused = false
-  /** Bytes passed on while paused, which the peer learns with the resumption. */
+  /** Bytes passed on of which the peer doesn't know yet. */
   private _unreportedBytes = 0
 
   constructor (private readonly _options: RelayedCallOptions) {}
@@ -199,7 +201,7 @@
   /** The peer sends a limited number of bytes beyond those reported here. */
   private _reportRead (bytes: number): void {
     this._unreportedBytes += bytes
-    if (this._isPaused || this._isEnded || this._unreportedBytes === 0 || this._peer === undefined) return
+    if (this._isPaused || this._isEnded || this._unreportedBytes < READ_REPORT_BYTES || this._peer === undefined) return
     this._options.mesh.notify(this._peer, { type: 'relayRead', relayId: this._relayId, bytes: this._unreportedBytes })
     this._unreportedBytes = 0
   }
