--- a/packages/core/src/common/workers/workerRateLimits.ts
+++ b/packages/core/src/common/workers/workerNotices.ts
@@ -11,7 +11,7 @@
 export type WorkerStart = Pick<WorkerRegistration, 'workerId' | 'startedAtMs'>
 
 /** What a worker has named in an answer. */
-export interface RateLimitReport extends WorkerStart {
+export interface WorkerNotice extends WorkerStart {
   /** Requests per second that the worker takes from all nodes together; absent if it names no limit any more. */
   limitPerS?: number
   /** Time since the answer. */
@@ -19,11 +19,11 @@
 }
 
 /** A change of the limit that is in force for a worker. */
-export interface RateLimitChange extends WorkerStart {
+export interface NoticeChange extends WorkerStart {
   limitPerS: number | undefined
 }
 
-interface Observation extends RateLimitChange {
+interface Observation extends NoticeChange {
   observedAtMs: number
 }
 
@@ -33,29 +33,29 @@
 }
 
 /** The newest answer of a worker decides, whichever node got it. A limit stays in force until the worker names another one or none, leaves or restarts. */
-export interface IWorkerRateLimits {
-  readonly onDidChange: Event<RateLimitChange>
+export interface IWorkerNotices {
+  readonly onDidChange: Event<NoticeChange>
   /** Stores what an answer to this node named; `limitPerS` is undefined if it named no limit. True if the worker has a limit, or one that ended a short time ago. */
   observe (worker: WorkerStart, limitPerS: number | undefined, nowMs: number): boolean
   /** Stores the reports of a peer that are newer than what is known. */
-  applyReports (reports: readonly RateLimitReport[], nowMs: number): void
+  applyReports (reports: readonly WorkerNotice[], nowMs: number): void
   /** Limits in force, and those that ended a short time ago. */
-  reports (nowMs: number): RateLimitReport[]
+  reports (nowMs: number): WorkerNotice[]
   /** Requests per second that all nodes together may send to the worker; undefined without a limit. */
   rateOf (worker: WorkerStart): number | undefined
   /** Removes what is known of a worker that has left or restarted. */
   removeWorker (workerId: string): void
 }
-export const IWorkerRateLimits = Symbol('IWorkerRateLimits')
+export const IWorkerNotices = Symbol('IWorkerRateLimits')
 
 /**
  * @example
- * rateLimits.observe(worker, 7.5, nowMs)
- * rateLimits.rateOf(worker) // 7.5
+ * notices.observe(worker, 7.5, nowMs)
+ * notices.rateOf(worker) // 7.5
  */
-export class WorkerRateLimits implements IWorkerRateLimits {
+export class WorkerNotices implements IWorkerNotices {
   private readonly _entries = new Map<string, Entry>()
-  private readonly _onDidChange = new Emitter<RateLimitChange>()
+  private readonly _onDidChange = new Emitter<NoticeChange>()
 
   readonly onDidChange = this._onDidChange.event
 
@@ -65,12 +65,12 @@
     return entry !== undefined && isReported(entry, nowMs)
   }
 
-  applyReports (reports: readonly RateLimitReport[], nowMs: number): void {
+  applyReports (reports: readonly WorkerNotice[], nowMs: number): void {
     for (const { workerId, startedAtMs, limitPerS, agoMs } of reports) this._store({ workerId, startedAtMs, limitPerS, observedAtMs: nowMs - agoMs }, nowMs)
   }
 
-  reports (nowMs: number): RateLimitReport[] {
-    const reports: RateLimitReport[] = []
+  reports (nowMs: number): WorkerNotice[] {
+    const reports: WorkerNotice[] = []
     for (const entry of this._entries.values()) {
       const { workerId, startedAtMs, limitPerS, observedAtMs } = entry
       if (isReported(entry, nowMs)) reports.push({ workerId, startedAtMs, limitPerS, agoMs: Math.round(nowMs - observedAtMs) })
--- a/packages/core/test/common/workers/workerRateLimits.test.ts
+++ b/packages/core/test/common/workers/workerNotices.test.ts
@@ -1,12 +1,12 @@
 /** Tests what a node knows of the rate limits of workers. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { type RateLimitChange, WorkerRateLimits } from '@trefoilshunt/core'
+import { type NoticeChange, WorkerNotices } from '@trefoilshunt/core'
 
 const WORKER = { workerId: 'w', startedAtMs: 1 }
 
 test('a limit holds until the worker names another one or none, without further answers too', () => {
-  const limits = new WorkerRateLimits()
+  const limits = new WorkerNotices()
   assert.is(limits.observe(WORKER, undefined, 0), false)
   limits.observe(WORKER, 7.5, 10)
   assert.is(limits.rateOf(WORKER), 7.5)
@@ -17,7 +17,7 @@
 })
 
 test('of reports that cross each other, the one of the newest answer decides', () => {
-  const limits = new WorkerRateLimits()
+  const limits = new WorkerNotices()
   limits.observe(WORKER, undefined, 1_000)
   limits.applyReports([{ ...WORKER, limitPerS: 5, agoMs: 50 }], 1_000)
   limits.observe(WORKER, undefined, 1_000)
@@ -28,8 +28,8 @@
 })
 
 test('a node that had no part learns limits and their end from the reports of another one', () => {
-  const [limits, other] = [new WorkerRateLimits(), new WorkerRateLimits()]
-  const changes: RateLimitChange[] = []
+  const [limits, other] = [new WorkerNotices(), new WorkerNotices()]
+  const changes: NoticeChange[] = []
   other.onDidChange(change => changes.push(change))
   limits.observe(WORKER, 5, 0)
   other.applyReports(limits.reports(300), 2_000)
@@ -41,7 +41,7 @@
 })
 
 test('a restarted worker has no limit, whatever is still reported of its earlier start', () => {
-  const limits = new WorkerRateLimits()
+  const limits = new WorkerNotices()
   limits.observe(WORKER, 5, 0)
   const restarted = { ...WORKER, startedAtMs: 2 }
   assert.is(limits.rateOf(restarted), undefined)
@@ -51,14 +51,14 @@
 })
 
 test('a worker that takes no requests still gets a few, whose answers show the end of the limit', () => {
-  const limits = new WorkerRateLimits()
+  const limits = new WorkerNotices()
   limits.observe(WORKER, 0, 0)
   const ratePerS = limits.rateOf(WORKER) ?? 0
   assert.ok(ratePerS > 0 && ratePerS <= 1, String(ratePerS))
 })
 
 test('the end of a limit is reported for a limited time, also while the worker goes on answering', () => {
-  const limits = new WorkerRateLimits()
+  const limits = new WorkerNotices()
   limits.observe(WORKER, 5, 0)
   let isReported = true
   for (let nowMs = 1_000; nowMs <= 30_000; nowMs += 1_000) isReported = limits.observe(WORKER, undefined, nowMs)
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -1,5 +1,5 @@
 /** Messages between the nodes that serve routed requests. Sent as MessagePack, because they carry prompts and answers as bytes. */
-import { type CachedPart, type GrantRequest, hash32, type KeyedRecord, type PlacementEnd, type PlacementRequest, type ProbeResult, type RateLimitReport, type RetainedTurn, type TurnEnd } from '@trefoilshunt/core'
+import { type CachedPart, type GrantRequest, hash32, type KeyedRecord, type PlacementEnd, type PlacementRequest, type ProbeResult, type WorkerNotice, type RetainedTurn, type TurnEnd } from '@trefoilshunt/core'
 import type { CallFailure, WorkerAnswerHead, WorkerCall } from './workerClient.js'
 
 /** How a node can be reached. */
@@ -48,7 +48,7 @@
   /** Service shards with rate limits whose slots the sender assigns; absent if there are none. */
   rateLimitedShards?: string[]
   /** Rate limits of the workers that the sender coordinates; absent if there are none. */
-  rateLimits?: RateLimitReport[]
+  rateLimits?: WorkerNotice[]
   /** Live peers of the sender; absent if the list was sent on this connection before, or another version of it a short time ago. */
   peers?: NodeAddress[]
 }
@@ -141,7 +141,7 @@
   /** Returns a slot, or withdraws the request for one. Gets no reply. */
   | { type: 'release', shard: ServiceShard, placementId: string, end: PlacementEnd }
   /** Reports a rate limit to the worker's coordinator. Gets no reply. */
-  | { type: 'rateLimit', report: RateLimitReport }
+  | { type: 'rateLimit', report: WorkerNotice }
   /** Requests a turn from the owner of the program's partition; `isKept` if the turn will be retained. */
   | { type: 'grant', partition: number, request: GrantRequest, isKept: boolean }
   /** Reports the end of a turn. */
--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -1,6 +1,6 @@
 /** The gauges of a node, for its metrics endpoint. */
 import { monitorEventLoopDelay } from 'node:perf_hooks'
-import type { IWorkerRateLimits } from '@trefoilshunt/core'
+import type { IWorkerNotices } from '@trefoilshunt/core'
 import { steadyNowMs } from '../steadyClock.js'
 import type { ClusterView } from './clusterView.js'
 import type { NodeDirectory } from './nodeDirectory.js'
@@ -24,7 +24,7 @@
   clusterView: ClusterView
   coordinator: PlacementCoordinator
   streamOrigins: StreamOrigins
-  rateLimits: IWorkerRateLimits
+  notices: IWorkerNotices
 }
 
 /**
@@ -48,7 +48,7 @@
 
   /** Current values by name. */
   read (): Record<string, number> {
-    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, rateLimits } = this._options
+    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, notices } = this._options
     const memory = process.memoryUsage()
     const cpu = process.cpuUsage()
     return {
@@ -64,7 +64,7 @@
       cut_off: Number(links.isCutOff),
       calls_relayed: relays.openCount,
       calls_served_for_peers: relayServer.openCount,
-      rate_limited_workers: rateLimits.reports(steadyNowMs()).filter(({ limitPerS }) => limitPerS !== undefined).length,
+      rate_limited_workers: notices.reports(steadyNowMs()).filter(({ limitPerS }) => limitPerS !== undefined).length,
       stream_origins_held: streamOrigins.size,
       placements_open: coordinator.openCount,
       placements_queued: coordinator.queueLength,
--- a/packages/node/src/node/routed/ownRates.ts
+++ b/packages/node/src/node/routed/ownRates.ts
@@ -1,12 +1,12 @@
 /** Keeps this node's share of the workers' rate limits while it selects workers without a coordinator. */
-import { type IRandom, type IWorkerRateLimits, RequestRates, type WorkerRegistration } from '@trefoilshunt/core'
+import { type IRandom, type IWorkerNotices, RequestRates, type WorkerRegistration } from '@trefoilshunt/core'
 import { steadyNowMs } from '../steadyClock.js'
 
 /** After a pause of this length the share begins anew. */
 const PAUSE_MS = 1_000
 
 export interface OwnRatesOptions {
-  rateLimits: IWorkerRateLimits
+  notices: IWorkerNotices
   /** Number of nodes that share the limits, reachable or not. */
   nodeCount: () => number
   random: IRandom
@@ -34,7 +34,7 @@
     if (nowMs - this._lastUseAtMs > PAUSE_MS) this._rates.clear()
     this._lastUseAtMs = nowMs
     return workers.filter(worker => {
-      const ratePerS = this._options.rateLimits.rateOf(worker)
+      const ratePerS = this._options.notices.rateOf(worker)
       return ratePerS === undefined || this._rates.mayTake(worker.workerId, ratePerS / this._options.nodeCount(), nowMs)
     })
   }
--- a/packages/node/src/node/routed/placementCoordinator.ts
+++ b/packages/node/src/node/routed/placementCoordinator.ts
@@ -1,5 +1,5 @@
 /** Assigns slots of workers for the service shards that this node coordinates. */
-import { type IRandom, type IRouteTable, type IWorkerRateLimits, type IWorkerRegistry, type IWorkerStatistics, type LogFields, type PlacementService, type PlacementEnd, type PlacementRequest, ServicePlacement, type SlotPlacement, type WorkerRegistration } from '@trefoilshunt/core'
+import { type IRandom, type IRouteTable, type IWorkerNotices, type IWorkerRegistry, type IWorkerStatistics, type LogFields, type PlacementService, type PlacementEnd, type PlacementRequest, ServicePlacement, type SlotPlacement, type WorkerRegistration } from '@trefoilshunt/core'
 import { type PlaceReply, type ServiceShard, shardIndexOf, shardKeyOf } from '../../common/routed/routedPeerMessages.js'
 import { steadyNowMs } from '../steadyClock.js'
 
@@ -17,7 +17,7 @@
   registry: IWorkerRegistry
   /** The load of all nodes as this node knows it, adopted when it becomes a coordinator. */
   statistics: IWorkerStatistics
-  rateLimits: IWorkerRateLimits
+  notices: IWorkerNotices
   /** Number of other nodes that assign the slots of a shard at the moment, for example while the role moves. */
   otherCoordinatorCount: (shardKey: string) => number
   random: IRandom
@@ -142,7 +142,7 @@
   private _ratesOf (workers: readonly WorkerRegistration[], shardKey: string): ReadonlyMap<string, number> {
     const ratesPerS = new Map<string, number>()
     for (const worker of workers) {
-      const ratePerS = this._options.rateLimits.rateOf(worker)
+      const ratePerS = this._options.notices.rateOf(worker)
       if (ratePerS !== undefined) ratesPerS.set(worker.workerId, ratePerS)
     }
     if (ratesPerS.size === 0) return ratesPerS
--- a/packages/node/src/node/routed/routedCallDependencies.ts
+++ b/packages/node/src/node/routed/routedCallDependencies.ts
@@ -1,10 +1,10 @@
 /** The objects of a node that handle its routed requests. */
-import type { IRouteTable, IWorkerChoice, IWorkerRateLimits, IWorkerRegistry, IWorkerStatistics, LogFields } from '@trefoilshunt/core'
+import type { IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, LogFields } from '@trefoilshunt/core'
 import type { Metrics } from '../../common/metrics.js'
 import type { OwnRates } from './ownRates.js'
 import type { IWorkerCaller } from './paths/workerGateway.js'
 import type { PoisonRequestDetector } from './poisonRequestDetector.js'
-import type { RateLimitReporter } from './rateLimitReporter.js'
+import type { WorkerNoticeReporter } from './workerNoticeReporter.js'
 import type { RouteDurations } from './routeDurations.js'
 import type { SlotClient } from './slotClient.js'
 import type { StreamOrigins } from './streamOrigins.js'
@@ -16,8 +16,8 @@
   routes: IRouteTable
   registry: IWorkerRegistry
   statistics: IWorkerStatistics
-  rateLimits: IWorkerRateLimits
-  rateLimitReporter: RateLimitReporter
+  notices: IWorkerNotices
+  noticeReporter: WorkerNoticeReporter
   /** Requests that this node sends without a coordinator to workers with rate limits. */
   ownRates: OwnRates
   choice: IWorkerChoice
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -1,7 +1,7 @@
 /** A node that serves routed requests: creates and connects its parts, starts them and stops them in order. */
 import { randomBytes } from 'node:crypto'
 import {
-  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerRateLimits, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, type RateLimitReport, WorkerChoiceOptions
+  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, type WorkerNotice, WorkerChoiceOptions
 } from '@trefoilshunt/core'
 import { Metrics } from '../../common/metrics.js'
 import type { ILogClient } from '../../common/routed/logClient.js'
@@ -22,7 +22,7 @@
 import { PartitionHost } from './partitionHost.js'
 import { PeerMesh, type PeerRequester, type PeerResponder } from './peerMesh.js'
 import { PlacementCoordinator } from './placementCoordinator.js'
-import { RateLimitReporter } from './rateLimitReporter.js'
+import { WorkerNoticeReporter } from './workerNoticeReporter.js'
 import { RouteDurations } from './routeDurations.js'
 import { startRoutedCall } from './startRoutedCall.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
@@ -81,7 +81,7 @@
   private readonly _routes: IRouteTable
   private readonly _registry: IWorkerRegistry
   private readonly _statistics: IWorkerStatistics
-  private readonly _rateLimits: IWorkerRateLimits
+  private readonly _notices: IWorkerNotices
   private readonly _links: WorkerLinks
   private readonly _relayServer: RelayServer
   private readonly _directory: NodeDirectory
@@ -109,9 +109,9 @@
     this._routes = container.resolve<IRouteTable>(IRouteTable)
     this._registry = container.resolve<IWorkerRegistry>(IWorkerRegistry)
     this._statistics = container.resolve<IWorkerStatistics>(IWorkerStatistics)
-    this._rateLimits = container.resolve<IWorkerRateLimits>(IWorkerRateLimits)
+    this._notices = container.resolve<IWorkerNotices>(IWorkerNotices)
     const write = (event: string, fields: LogFields): void => this._write('info', event, fields)
-    this._rateLimits.onDidChange(({ workerId, startedAtMs, limitPerS }) => write('workerRateLimit', { worker: workerId, startedAtMs, limitPerS, isLimited: limitPerS !== undefined }))
+    this._notices.onDidChange(({ workerId, startedAtMs, limitPerS }) => write('workerRateLimit', { worker: workerId, startedAtMs, limitPerS, isLimited: limitPerS !== undefined }))
     this._links = new WorkerLinks({ client: _options.workers, registry: this._registry, random: container.resolve<IRandom>(IRandom), hasRelay: () => relays.isAvailable, write })
     this._links.onDidChange(() => this._statusBroadcast.send())
     this._directory = new NodeDirectory({
@@ -157,7 +157,7 @@
     })
     this._poisonRequestDetector = new PoisonRequestDetector({ onCrashObserved: () => this._statusBroadcast.send(), probe: async worker => await gateway.probe(worker), write })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._partitionHost, mesh: this._mesh, directory: this._directory, write })
-    this._coordinator = new PlacementCoordinator({ routes: this._routes, registry: this._registry, statistics: this._statistics, rateLimits: this._rateLimits, otherCoordinatorCount: key => this._directory.coordinatorCount(key), random: container.resolve<IRandom>(IRandom), write })
+    this._coordinator = new PlacementCoordinator({ routes: this._routes, registry: this._registry, statistics: this._statistics, notices: this._notices, otherCoordinatorCount: key => this._directory.coordinatorCount(key), random: container.resolve<IRandom>(IRandom), write })
     const { documentTopic, documentKey, workerTopic, codec } = _options
     this._clusterView = new ClusterView({
       node,
@@ -199,23 +199,23 @@
       listSilenceMs: () => this._clusterView.workersSilenceMs,
       write
     })
-    const reporter = new RateLimitReporter({ rateLimits: this._rateLimits, report: (worker, report) => this._slots.reportRateLimit(worker, report) })
-    const ownRates = new OwnRates({ rateLimits: this._rateLimits, nodeCount: () => this._directory.size + 1, random: container.resolve<IRandom>(IRandom) })
+    const reporter = new WorkerNoticeReporter({ notices: this._notices, report: (worker, report) => this._slots.reportNotice(worker, report) })
+    const ownRates = new OwnRates({ notices: this._notices, nodeCount: () => this._directory.size + 1, random: container.resolve<IRandom>(IRandom) })
     this._registry.onDidLoseWorker(worker => {
       const { workerId, address } = worker
       this._statistics.removeWorker(workerId)
       this._coordinator.removeWorker(workerId)
-      this._rateLimits.removeWorker(workerId)
+      this._notices.removeWorker(workerId)
       reporter.removeWorker(workerId)
       ownRates.removeWorker(workerId)
       this._links.removeWorker(worker)
       write('workerLost', { worker: workerId, address, isDraining: this._registry.find(workerId)?.isDraining })
     })
-    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, rateLimits: this._rateLimits })
+    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, notices: this._notices })
     this._callDependencies = {
       zone,
-      rateLimits: this._rateLimits,
-      rateLimitReporter: reporter,
+      notices: this._notices,
+      noticeReporter: reporter,
       ownRates,
       routes: this._routes,
       registry: this._registry,
@@ -331,8 +331,8 @@
   }
 
   /** The rate limits of the workers that this node coordinates. */
-  private get _coordinatedRateLimits (): RateLimitReport[] {
-    return this._rateLimits.reports(steadyNowMs()).filter(({ workerId }) => {
+  private get _coordinatedRateLimits (): WorkerNotice[] {
+    return this._notices.reports(steadyNowMs()).filter(({ workerId }) => {
       const worker = this._registry.find(workerId)
       return worker !== undefined && this._slots.isCoordinatorOf(worker)
     })
@@ -364,7 +364,7 @@
     this._statistics.setPeerLoad(status.from.node, status.load)
     this._partitionHost.applyPeerOwnership(status.owned)
     this._poisonRequestDetector.applyPeerCrashes(status.crashes ?? [])
-    this._rateLimits.applyReports(status.rateLimits ?? [], steadyNowMs())
+    this._notices.applyReports(status.rateLimits ?? [], steadyNowMs())
     if (status.documentVersion > this._routes.version) void this._clusterView.fetchDocument(status.from.node)
   }
 
@@ -373,7 +373,7 @@
     switch (request.type) {
       case 'place': return this._coordinator.place(request.shard, request.from, request.request, respond)
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
-      case 'rateLimit': return this._rateLimits.applyReports([request.report], steadyNowMs())
+      case 'rateLimit': return this._notices.applyReports([request.report], steadyNowMs())
       case 'topic': return respond({ type: 'topicContent', records: this._clusterView.contentOf(request.topic) }, true)
     }
   }
--- a/packages/node/src/node/routed/slotClient.ts
+++ b/packages/node/src/node/routed/slotClient.ts
@@ -1,5 +1,5 @@
 /** Obtains slots of workers from the node that coordinates them. */
-import { hash32, type IWorkerRegistry, type LogFields, type PlacementEnd, type PlacementRequest, type RateLimitReport, resolveOwner, type WorkerRegistration } from '@trefoilshunt/core'
+import { hash32, type IWorkerRegistry, type LogFields, type PlacementEnd, type PlacementRequest, type WorkerNotice, resolveOwner, type WorkerRegistration } from '@trefoilshunt/core'
 import { type PeerReply, type ServiceShard, shardIndexOf, shardKeyOf } from '../../common/routed/routedPeerMessages.js'
 import { steadyNowMs } from '../steadyClock.js'
 import type { NodeDirectory } from './nodeDirectory.js'
@@ -83,7 +83,7 @@
   }
 
   /** Sends the report of a rate limit to the worker's coordinator, unless that is this node. */
-  reportRateLimit (worker: WorkerRegistration, report: RateLimitReport): void {
+  reportNotice (worker: WorkerRegistration, report: WorkerNotice): void {
     const coordinator = this._coordinatorOfWorker(worker)
     if (coordinator !== undefined && coordinator !== this._options.node) this._options.mesh.notify(coordinator, { type: 'rateLimit', report })
   }
--- a/packages/node/src/node/routed/rateLimitReporter.ts
+++ b/packages/node/src/node/routed/workerNoticeReporter.ts
@@ -1,30 +1,30 @@
 /** Reports the rate limits that workers name in their answers to the coordinators of these workers. */
-import type { IWorkerRateLimits, RateLimitReport, WorkerRegistration } from '@trefoilshunt/core'
+import type { IWorkerNotices, WorkerNotice, WorkerRegistration } from '@trefoilshunt/core'
 import { steadyNowMs } from '../steadyClock.js'
 
 /** An unchanged limit is reported again after this, in case the coordinator has changed or has missed a report. */
 const REPEAT_MS = 1_000
 
-export interface RateLimitReporterOptions {
-  rateLimits: IWorkerRateLimits
+export interface WorkerNoticeReporterOptions {
+  notices: IWorkerNotices
   /** Sends a report to the coordinator of the worker, unless this node is the coordinator. */
-  report: (worker: WorkerRegistration, report: RateLimitReport) => void
+  report: (worker: WorkerRegistration, report: WorkerNotice) => void
 }
 
 /**
  * @example
  * reporter.observe(worker, 7.5)
  */
-export class RateLimitReporter {
+export class WorkerNoticeReporter {
   private readonly _reported = new Map<string, { limitPerS: number | undefined, atMs: number }>()
 
-  constructor (private readonly _options: RateLimitReporterOptions) {}
+  constructor (private readonly _options: WorkerNoticeReporterOptions) {}
 
   /** Handles an answer of the worker; `limitPerS` is undefined if it names no limit. */
   observe (worker: WorkerRegistration, limitPerS: number | undefined): void {
     const nowMs = steadyNowMs()
     const { workerId, startedAtMs } = worker
-    if (!this._options.rateLimits.observe(worker, limitPerS, nowMs)) return
+    if (!this._options.notices.observe(worker, limitPerS, nowMs)) return
     const last = this._reported.get(workerId)
     if (last !== undefined && last.limitPerS === limitPerS && nowMs - last.atMs < REPEAT_MS) return
     this._reported.set(workerId, { limitPerS, atMs: nowMs })
--- a/packages/node/src/node/routed/workerSelector.ts
+++ b/packages/node/src/node/routed/workerSelector.ts
@@ -71,11 +71,11 @@
 
   /** The service for this attempt if a coordinator assigns its workers. */
   private _drawCoordinatedService (state: AttemptState): RoutedService | undefined {
-    const { routes, registry, rateLimits } = this._options.dependencies
+    const { routes, registry, notices } = this._options.dependencies
     const [name] = this._drawServices(state)
     const service = name === undefined ? undefined : routes.findService(name)
     if (service === undefined || service.engine !== undefined) return service
-    return registry.workersOf(service.name, steadyNowMs()).some(worker => rateLimits.rateOf(worker) !== undefined) ? service : undefined
+    return registry.workersOf(service.name, steadyNowMs()).some(worker => notices.rateOf(worker) !== undefined) ? service : undefined
   }
 
   /** Services in the order in which they are tried; for the rest of a stream only the one that began it, if the route still allows it. */
--- a/packages/node/test/node/routed/ownRates.test.ts
+++ b/packages/node/test/node/routed/ownRates.test.ts
@@ -1,7 +1,7 @@
 /** Tests that nodes without a coordinator together keep to the rate limit of a worker. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { SeededRandom, WorkerRateLimits, type WorkerRegistration } from '@trefoilshunt/core'
+import { SeededRandom, WorkerNotices, type WorkerRegistration } from '@trefoilshunt/core'
 import { OwnRates } from '../../../src/node/routed/ownRates.js'
 import { VirtualTime } from './virtualTime.js'
 
@@ -10,9 +10,9 @@
 const STEP_MS = 50
 
 function createNodes (count: number): OwnRates[] {
-  const rateLimits = new WorkerRateLimits()
-  rateLimits.observe(WORKER, LIMIT_PER_S, 0)
-  return Array.from({ length: count }, (_, index) => new OwnRates({ rateLimits, nodeCount: () => count, random: new SeededRandom(index) }))
+  const notices = new WorkerNotices()
+  notices.observe(WORKER, LIMIT_PER_S, 0)
+  return Array.from({ length: count }, (_, index) => new OwnRates({ notices, nodeCount: () => count, random: new SeededRandom(index) }))
 }
 
 /** Requests that the worker gets within each window of 4 s while every node would send one in every step. */
--- a/packages/node/test/node/routed/placementCoordinator.test.ts
+++ b/packages/node/test/node/routed/placementCoordinator.test.ts
@@ -1,7 +1,7 @@
 /** Tests that several coordinators of the same workers share their rate limits. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { type IRouteTable, RouteTable, SeededRandom, WorkerRateLimits, type WorkerRegistration, WorkerRegistry, WorkerStatistics } from '@trefoilshunt/core'
+import { type IRouteTable, RouteTable, SeededRandom, WorkerNotices, type WorkerRegistration, WorkerRegistry, WorkerStatistics } from '@trefoilshunt/core'
 import type { ServiceShard } from '@trefoilshunt/node/routed'
 import { PlacementCoordinator } from '../../../src/node/routed/placementCoordinator.js'
 import { VirtualTime } from './virtualTime.js'
@@ -15,10 +15,10 @@
 async function countPlaced (time: VirtualTime, otherCoordinatorCount: number): Promise<number> {
   const registry = new WorkerRegistry()
   registry.update('w', WORKER, 0)
-  const rateLimits = new WorkerRateLimits()
-  rateLimits.observe(WORKER, LIMIT_PER_S, 0)
+  const notices = new WorkerNotices()
+  notices.observe(WORKER, LIMIT_PER_S, 0)
   const routes: IRouteTable = new RouteTable(new SeededRandom(1))
-  const coordinator = new PlacementCoordinator({ routes, registry, statistics: new WorkerStatistics(), rateLimits, otherCoordinatorCount: () => otherCoordinatorCount, random: new SeededRandom(2), write: () => {} })
+  const coordinator = new PlacementCoordinator({ routes, registry, statistics: new WorkerStatistics(), notices, otherCoordinatorCount: () => otherCoordinatorCount, random: new SeededRandom(2), write: () => {} })
   let placed = 0
   for (let atMs = 0; atMs < FOR_MS; atMs += 10) {
     const placementId = String(atMs)
--- a/packages/node/test/node/routed/slotClient.test.ts
+++ b/packages/node/test/node/routed/slotClient.test.ts
@@ -1,7 +1,7 @@
 /** Tests how nodes find the coordinator of a service and what they do when it does not reply. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { DEFAULT_SERVICE_PLACEMENT, type IRouteTable, RouteTable, SeededRandom, type WorkerRegistration, WorkerRateLimits, WorkerRegistry, WorkerStatistics } from '@trefoilshunt/core'
+import { DEFAULT_SERVICE_PLACEMENT, type IRouteTable, RouteTable, SeededRandom, type WorkerRegistration, WorkerNotices, WorkerRegistry, WorkerStatistics } from '@trefoilshunt/core'
 import type { NodeAddress, NodeStatus, PeerReply, PeerRequest } from '@trefoilshunt/node/routed'
 import { NodeDirectory } from '../../../src/node/routed/nodeDirectory.js'
 import type { PeerMesh } from '../../../src/node/routed/peerMesh.js'
@@ -54,7 +54,7 @@
     const registry = new WorkerRegistry()
     for (let index = 0; index < workerCount; index++) registry.update(`w${index}`, createWorker(`w${index}`), 0)
     const directory = new NodeDirectory({ self: createAddress(name), nowMs: () => performance.now(), onAdded: () => {}, onRemoved: () => {} })
-    const coordinator = new PlacementCoordinator({ routes, registry, statistics: new WorkerStatistics(), rateLimits: new WorkerRateLimits(), otherCoordinatorCount: () => 0, random: new SeededRandom(2), write: () => {} })
+    const coordinator = new PlacementCoordinator({ routes, registry, statistics: new WorkerStatistics(), notices: new WorkerNotices(), otherCoordinatorCount: () => 0, random: new SeededRandom(2), write: () => {} })
     const mesh = {
       request: (to: string, request: PeerRequest, { onReply }: { onReply: (reply: PeerReply | undefined) => void }) => deliver(to, request, onReply),
       notify: (to: string, request: PeerRequest) => deliver(to, request, () => {})
--- a/packages/node/test/node/routed/workerSelector.test.ts
+++ b/packages/node/test/node/routed/workerSelector.test.ts
@@ -16,7 +16,7 @@
     zone: 'a',
     routes: { drawServices: () => ['engines'], findService: () => ({ name: 'engines', engine: hasEngine ? {} : undefined }) },
     registry: { workersOf: () => [WORKER] },
-    rateLimits: { rateOf: () => undefined },
+    notices: { rateOf: () => undefined },
     ownRates: { filter: (workers: WorkerRegistration[]) => workers, take: () => {} },
     choice: { chooseWorker: ({ candidates }: { candidates: WorkerRegistration[] }) => candidates[0] },
     durations: { expectedMs: () => 100 },
