--- a/packages/core/src/common/workers/workerNotices.ts
+++ b/packages/core/src/common/workers/workerNotices.ts
@@ -1,4 +1,4 @@
-/** Rate limits that workers name in their answers, as this node has observed them or other nodes have reported them. */
+/** What workers say of themselves in their answers, as this node has observed it or other nodes have reported it: rate limits, and that they leave. */
 import { Emitter, type Event } from '../kernel/emitter.js'
 import type { WorkerRegistration } from './workerRegistry.js'
 
@@ -7,20 +7,27 @@
 /** A worker with a lower limit still gets requests at this rate, so that its answers show when the limit ends. */
 const MIN_RATE_PER_S = 0.25
 
-/** One start of a worker, which limits apply to. */
+/** One start of a worker, which its notices apply to. */
 export type WorkerStart = Pick<WorkerRegistration, 'workerId' | 'startedAtMs'>
 
-/** What a worker has named in an answer. */
-export interface WorkerNotice extends WorkerStart {
-  /** Requests per second that the worker takes from all nodes together; absent if it names no limit any more. */
+/** What one answer of a worker says. */
+export interface AnswerNotice {
+  /** Requests per second that the worker takes from all nodes together; absent if it names no limit. */
   limitPerS?: number
+  /** True if the worker is about to stop and takes no new work. */
+  isLeaving?: boolean
+}
+
+/** What the newest answer of a worker has said. */
+export interface WorkerNotice extends WorkerStart, AnswerNotice {
   /** Time since the answer. */
   agoMs: number
 }
 
-/** A change of the limit that is in force for a worker. */
+/** A change of what is known of a worker. */
 export interface NoticeChange extends WorkerStart {
   limitPerS: number | undefined
+  isLeaving: boolean
 }
 
 interface Observation extends NoticeChange {
@@ -32,25 +39,30 @@
   changedAtMs: number
 }
 
-/** The newest answer of a worker decides, whichever node got it. A limit stays in force until the worker names another one or none, leaves or restarts. */
+/**
+ * The newest answer of a worker decides on its limit, whichever node got it. A limit stays in force until the worker names another one or none, leaves or
+ * restarts. A worker that has said that it leaves does not stay: it counts as leaving until it restarts.
+ */
 export interface IWorkerNotices {
   readonly onDidChange: Event<NoticeChange>
-  /** Stores what an answer to this node named; `limitPerS` is undefined if it named no limit. True if the worker has a limit, or one that ended a short time ago. */
-  observe (worker: WorkerStart, limitPerS: number | undefined, nowMs: number): boolean
+  /** Stores what an answer to this node said. True if other nodes should learn it: a limit, one that ended a short time ago, or that the worker leaves. */
+  observe (worker: WorkerStart, notice: AnswerNotice, nowMs: number): boolean
   /** Stores the reports of a peer that are newer than what is known. */
   applyReports (reports: readonly WorkerNotice[], nowMs: number): void
-  /** Limits in force, and those that ended a short time ago. */
+  /** Limits in force, those that ended a short time ago, and workers that leave. */
   reports (nowMs: number): WorkerNotice[]
   /** Requests per second that all nodes together may send to the worker; undefined without a limit. */
   rateOf (worker: WorkerStart): number | undefined
-  /** Removes what is known of a worker that has left or restarted. */
+  /** True if the worker has said that it leaves. */
+  isLeaving (worker: WorkerStart): boolean
+  /** Removes what is known of a worker that is gone or has restarted. */
   removeWorker (workerId: string): void
 }
-export const IWorkerNotices = Symbol('IWorkerRateLimits')
+export const IWorkerNotices = Symbol('IWorkerNotices')
 
 /**
  * @example
- * notices.observe(worker, 7.5, nowMs)
+ * notices.observe(worker, { limitPerS: 7.5 }, nowMs)
  * notices.rateOf(worker) // 7.5
  */
 export class WorkerNotices implements IWorkerNotices {
@@ -59,21 +71,23 @@
 
   readonly onDidChange = this._onDidChange.event
 
-  observe ({ workerId, startedAtMs }: WorkerStart, limitPerS: number | undefined, nowMs: number): boolean {
-    this._store({ workerId, startedAtMs, limitPerS, observedAtMs: nowMs }, nowMs)
+  observe ({ workerId, startedAtMs }: WorkerStart, { limitPerS, isLeaving = false }: AnswerNotice, nowMs: number): boolean {
+    this._store({ workerId, startedAtMs, limitPerS, isLeaving, observedAtMs: nowMs }, nowMs)
     const entry = this._entries.get(workerId)
     return entry !== undefined && isReported(entry, nowMs)
   }
 
   applyReports (reports: readonly WorkerNotice[], nowMs: number): void {
-    for (const { workerId, startedAtMs, limitPerS, agoMs } of reports) this._store({ workerId, startedAtMs, limitPerS, observedAtMs: nowMs - agoMs }, nowMs)
+    for (const { workerId, startedAtMs, limitPerS, isLeaving = false, agoMs } of reports) {
+      this._store({ workerId, startedAtMs, limitPerS, isLeaving, observedAtMs: nowMs - agoMs }, nowMs)
+    }
   }
 
   reports (nowMs: number): WorkerNotice[] {
     const reports: WorkerNotice[] = []
     for (const entry of this._entries.values()) {
-      const { workerId, startedAtMs, limitPerS, observedAtMs } = entry
-      if (isReported(entry, nowMs)) reports.push({ workerId, startedAtMs, limitPerS, agoMs: Math.round(nowMs - observedAtMs) })
+      const { workerId, startedAtMs, limitPerS, isLeaving, observedAtMs } = entry
+      if (isReported(entry, nowMs)) reports.push({ workerId, startedAtMs, limitPerS, isLeaving: isLeaving || undefined, agoMs: Math.round(nowMs - observedAtMs) })
     }
     return reports
   }
@@ -84,27 +98,38 @@
     return Math.max(MIN_RATE_PER_S, entry.limitPerS)
   }
 
+  isLeaving ({ workerId, startedAtMs }: WorkerStart): boolean {
+    const entry = this._entries.get(workerId)
+    return entry !== undefined && entry.isLeaving && entry.startedAtMs === startedAtMs
+  }
+
   removeWorker (workerId: string): void {
     this._entries.delete(workerId)
   }
 
   private _store (observation: Observation, nowMs: number): void {
-    const { workerId, startedAtMs, limitPerS, observedAtMs } = observation
+    const { workerId, startedAtMs, observedAtMs } = observation
     const known = this._entries.get(workerId)
-    if (known === undefined && limitPerS === undefined) return
-    if (known !== undefined && isOutdated(observation, known)) return
-    const isSameStart = known?.startedAtMs === startedAtMs
-    const isSame = known !== undefined && isSameStart && known.limitPerS === limitPerS
-    this._entries.set(workerId, { workerId, startedAtMs, limitPerS, observedAtMs, changedAtMs: isSame ? known.changedAtMs : nowMs })
-    if (limitPerS !== (isSameStart ? known?.limitPerS : undefined)) this._onDidChange.fire({ workerId, startedAtMs, limitPerS })
+    if (known === undefined && observation.limitPerS === undefined && !observation.isLeaving) return
+    if (known !== undefined && startedAtMs < known.startedAtMs) return
+    const previous = known?.startedAtMs === startedAtMs ? known : undefined
+    const isOutdated = previous !== undefined && observedAtMs < previous.observedAtMs
+    // An outdated report still says whether the worker leaves.
+    const limitPerS = isOutdated ? previous.limitPerS : observation.limitPerS
+    const isLeaving = observation.isLeaving || previous?.isLeaving === true
+    const isLimitSame = previous !== undefined && previous.limitPerS === limitPerS
+    this._entries.set(workerId, {
+      workerId,
+      startedAtMs,
+      limitPerS,
+      isLeaving,
+      observedAtMs: Math.max(observedAtMs, previous?.observedAtMs ?? observedAtMs),
+      changedAtMs: isLimitSame ? previous.changedAtMs : nowMs
+    })
+    if (limitPerS !== previous?.limitPerS || isLeaving !== (previous?.isLeaving ?? false)) this._onDidChange.fire({ workerId, startedAtMs, limitPerS, isLeaving })
   }
 }
 
-function isReported ({ limitPerS, changedAtMs }: Entry, nowMs: number): boolean {
-  return limitPerS !== undefined || nowMs - changedAtMs < LIFTED_REPORT_MS
-}
-
-function isOutdated (observation: Observation, known: Observation): boolean {
-  if (observation.startedAtMs !== known.startedAtMs) return observation.startedAtMs < known.startedAtMs
-  return observation.observedAtMs < known.observedAtMs
+function isReported ({ limitPerS, isLeaving, changedAtMs }: Entry, nowMs: number): boolean {
+  return limitPerS !== undefined || isLeaving || nowMs - changedAtMs < LIFTED_REPORT_MS
 }
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -47,7 +47,7 @@
   crashes?: ObservedCrash[]
   /** Service shards with rate limits whose slots the sender assigns; absent if there are none. */
   rateLimitedShards?: string[]
-  /** Rate limits of the workers that the sender coordinates; absent if there are none. */
+  /** What the workers say that the sender coordinates, rate limits and that they leave; absent if there is nothing. */
   rateLimits?: WorkerNotice[]
   /** Live peers of the sender; absent if the list was sent on this connection before, or another version of it a short time ago. */
   peers?: NodeAddress[]
@@ -140,7 +140,7 @@
   | { type: 'place', shard: ServiceShard, from: string, request: PlacementRequest }
   /** Returns a slot, or withdraws the request for one. Gets no reply. */
   | { type: 'release', shard: ServiceShard, placementId: string, end: PlacementEnd }
-  /** Reports a rate limit to the worker's coordinator. Gets no reply. */
+  /** Reports what a worker says to its coordinator. Gets no reply. */
   | { type: 'rateLimit', report: WorkerNotice }
   /** Requests a turn from the owner of the program's partition; `isKept` if the turn will be retained. */
   | { type: 'grant', partition: number, request: GrantRequest, isKept: boolean }
--- a/packages/node/src/common/routed/workerClient.ts
+++ b/packages/node/src/common/routed/workerClient.ts
@@ -1,5 +1,5 @@
 /** The client for calls to workers, which a platform adapter implements. */
-import type { ProbeResult } from '@trefoilshunt/core'
+import type { AnswerNotice, ProbeResult } from '@trefoilshunt/core'
 import type { HeaderList } from './routedRequest.js'
 
 export interface WorkerCall {
@@ -28,8 +28,8 @@
   /** End-to-end headers of the answer. */
   headers: HeaderList
   isEventStream: boolean
-  /** Requests per second that the worker takes from all nodes together; absent if it names no limit. */
-  rateLimitPerS?: number
+  /** What the worker says of itself. */
+  notice: AnswerNotice
 }
 
 /** Why a call brought no complete answer. */
@@ -37,7 +37,7 @@
   /** No byte of the request was sent. `isOwnLink` if this node has lost its links, which says nothing about the worker. */
   | { type: 'notSent', detail: string, isOwnLink?: boolean }
   /** The worker reported that it did not run the request; `isMisdirected` if it isn't the worker that the call names. */
-  | { type: 'refused', isMisdirected: boolean, detail: string, rateLimitPerS?: number }
+  | { type: 'refused', isMisdirected: boolean, detail: string, notice: AnswerNotice }
   /** The call ended early after the request was sent; it may have run. */
   | { type: 'broken', detail: string, isOwnLink?: boolean }
 
--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -64,6 +64,7 @@
       cut_off: Number(links.isCutOff),
       calls_relayed: relays.openCount,
       calls_served_for_peers: relayServer.openCount,
+      leaving_workers: notices.reports(steadyNowMs()).filter(({ isLeaving }) => isLeaving === true).length,
       rate_limited_workers: notices.reports(steadyNowMs()).filter(({ limitPerS }) => limitPerS !== undefined).length,
       stream_origins_held: streamOrigins.size,
       placements_open: coordinator.openCount,
--- a/packages/node/src/node/routed/paths/relayServer.ts
+++ b/packages/node/src/node/routed/paths/relayServer.ts
@@ -1,8 +1,9 @@
 /** Calls workers for peers that don't reach them. */
-import { type IRouteTable, type IWorkerRegistry, type LogFields, ProbeResult } from '@trefoilshunt/core'
+import { type AnswerNotice, type IRouteTable, type IWorkerRegistry, type LogFields, ProbeResult } from '@trefoilshunt/core'
 import type { PeerRequest, RelayedWorkerCall } from '../../../common/routed/routedPeerMessages.js'
 import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerAnswerHead } from '../../../common/routed/workerClient.js'
 import type { PeerRequester, PeerResponder } from '../peerMesh.js'
+import type { WorkerNoticeReporter } from '../workerNoticeReporter.js'
 import { connectionShareOf } from './connectionShare.js'
 import type { WorkerLinks } from './workerLinks.js'
 
@@ -19,6 +20,7 @@
   routes: IRouteTable
   /** Number of nodes among which the connections to a worker are divided. */
   nodeCount: () => number
+  noticeReporter: WorkerNoticeReporter
   /** Counts a call as open, so that a stop waits for it, until the returned function is called. */
   beginRequest: () => () => void
   write: (event: string, fields: LogFields) => void
@@ -65,7 +67,7 @@
   }
 
   private _serve (relayId: string, call: RelayedWorkerCall, respond: PeerResponder, requester: PeerRequester): void {
-    const { links, registry, routes, nodeCount, beginRequest, write } = this._options
+    const { links, registry, routes, nodeCount, noticeReporter, beginRequest, write } = this._options
     const worker = registry.find(call.workerId)
     const problem = worker === undefined
       ? 'the worker is not known here'
@@ -76,11 +78,14 @@
       return
     }
     const endRequest = beginRequest()
-    const served = new ServedCall(respond, () => {
-      this._calls.delete(relayId)
-      closing.dispose()
-      clearTimeout(timer)
-      endRequest()
+    const served = new ServedCall(respond, {
+      onNotice: (notice, isRefusal) => isRefusal ? noticeReporter.observeRefusal(worker, notice) : noticeReporter.observe(worker, notice),
+      onEnded: () => {
+        this._calls.delete(relayId)
+        closing.dispose()
+        clearTimeout(timer)
+        endRequest()
+      }
     })
     const closing = requester.onDidClose(() => served.cancel())
     const timer = setTimeout(() => served.cancel(), call.deadlineMs + EXPIRY_GRACE_MS)
@@ -89,15 +94,23 @@
   }
 }
 
+interface ServedCallOptions {
+  /** Called with what the worker says of itself. */
+  onNotice: (notice: AnswerNotice, isRefusal: boolean) => void
+  /** Called once. */
+  onEnded: () => void
+}
+
 /** One call for a peer. */
 class ServedCall implements IWorkerCallListener {
   open: IOpenWorkerCall | undefined
   private _unreadBytes = 0
   private _isEnded = false
 
-  constructor (private readonly _respond: PeerResponder, private readonly _onEnded: () => void) {}
+  constructor (private readonly _respond: PeerResponder, private readonly _options: ServedCallOptions) {}
 
   onHead (head: WorkerAnswerHead): void {
+    this._options.onNotice(head.notice, false)
     this._respond({ type: 'relayHead', head }, false)
   }
 
@@ -113,6 +126,7 @@
   }
 
   onFailed (failure: CallFailure): void {
+    if (failure.type === 'refused' && !failure.isMisdirected) this._options.onNotice(failure.notice, true)
     this._end()
     this._respond({ type: 'relayFailed', failure }, true)
   }
@@ -132,6 +146,6 @@
   private _end (): void {
     if (this._isEnded) return
     this._isEnded = true
-    this._onEnded()
+    this._options.onEnded()
   }
 }
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -1,7 +1,7 @@
 /** A node that serves routed requests: creates and connects its parts, starts them and stops them in order. */
 import { randomBytes } from 'node:crypto'
 import {
-  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, type WorkerNotice, WorkerChoiceOptions
+  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, type NoticeChange, type WorkerNotice, WorkerChoiceOptions
 } from '@trefoilshunt/core'
 import { Metrics } from '../../common/metrics.js'
 import type { ILogClient } from '../../common/routed/logClient.js'
@@ -111,7 +111,7 @@
     this._statistics = container.resolve<IWorkerStatistics>(IWorkerStatistics)
     this._notices = container.resolve<IWorkerNotices>(IWorkerNotices)
     const write = (event: string, fields: LogFields): void => this._write('info', event, fields)
-    this._notices.onDidChange(({ workerId, startedAtMs, limitPerS }) => write('workerRateLimit', { worker: workerId, startedAtMs, limitPerS, isLimited: limitPerS !== undefined }))
+    this._notices.onDidChange(change => this._logNotice(change))
     this._links = new WorkerLinks({ client: _options.workers, registry: this._registry, random: container.resolve<IRandom>(IRandom), hasRelay: () => relays.isAvailable, write })
     this._links.onDidChange(() => this._statusBroadcast.send())
     this._directory = new NodeDirectory({
@@ -179,7 +179,8 @@
     }
     const relays = new RelayClient({ node, incarnation: this._self.incarnation, directory: this._directory, mesh: this._mesh, write })
     const gateway = new WorkerGateway(this._links, relays)
-    this._relayServer = new RelayServer({ links: this._links, registry: this._registry, routes: this._routes, nodeCount: () => this._directory.alive.length + 1, beginRequest: () => this.beginRequest(), write })
+    const reporter = new WorkerNoticeReporter({ notices: this._notices, report: (worker, report) => this._slots.reportNotice(worker, report) })
+    this._relayServer = new RelayServer({ links: this._links, registry: this._registry, routes: this._routes, nodeCount: () => this._directory.alive.length + 1, noticeReporter: reporter, beginRequest: () => this.beginRequest(), write })
     this._slots = new SlotClient({
       node,
       incarnation: this._self.incarnation,
@@ -199,13 +200,12 @@
       listSilenceMs: () => this._clusterView.workersSilenceMs,
       write
     })
-    const reporter = new WorkerNoticeReporter({ notices: this._notices, report: (worker, report) => this._slots.reportNotice(worker, report) })
     const ownRates = new OwnRates({ notices: this._notices, nodeCount: () => this._directory.size + 1, random: container.resolve<IRandom>(IRandom) })
     this._registry.onDidLoseWorker(worker => {
       const { workerId, address } = worker
       this._statistics.removeWorker(workerId)
       this._coordinator.removeWorker(workerId)
-      this._notices.removeWorker(workerId)
+      if (this._registry.find(workerId)?.startedAtMs !== worker.startedAtMs) this._notices.removeWorker(workerId)
       reporter.removeWorker(workerId)
       ownRates.removeWorker(workerId)
       this._links.removeWorker(worker)
@@ -330,18 +330,24 @@
     return this._options.cores ?? 1
   }
 
-  /** The rate limits of the workers that this node coordinates. */
-  private get _coordinatedRateLimits (): WorkerNotice[] {
+  /** What the workers say that this node coordinates. */
+  private get _coordinatedNotices (): WorkerNotice[] {
     return this._notices.reports(steadyNowMs()).filter(({ workerId }) => {
       const worker = this._registry.find(workerId)
       return worker !== undefined && this._slots.isCoordinatorOf(worker)
     })
   }
 
+  private _logNotice ({ workerId, startedAtMs, limitPerS, isLeaving }: NoticeChange): void {
+    const worker = { worker: workerId, startedAtMs }
+    if (isLeaving) this._write('info', 'workerLeaving', { ...worker, isDraining: this._registry.find(workerId)?.isDraining })
+    else this._write('info', 'workerRateLimit', { ...worker, limitPerS, isLimited: limitPerS !== undefined })
+  }
+
   private _composeStatus (): Omit<NodeStatus, 'periodMs' | 'peers'> {
     const crashes = this._poisonRequestDetector.observedCrashes
     const { rateLimitedShards } = this._coordinator
-    const rateLimits = this._coordinatedRateLimits
+    const rateLimits = this._coordinatedNotices
     return {
       type: 'status',
       from: this._self,
--- a/packages/node/src/node/routed/statusBroadcast.ts
+++ b/packages/node/src/node/routed/statusBroadcast.ts
@@ -62,6 +62,6 @@
 
 /** Digest of the fields whose changes are sent at the next check: peers act on them for callers or for workers. */
 function digestOf ({ isReady, isDraining, reachesWorkers, documentVersion, owned, rateLimitedShards = [], rateLimits = [] }: ReturnType<StatusBroadcastOptions['compose']>): string {
-  const limits = rateLimits.flatMap(({ workerId, startedAtMs, limitPerS }) => [workerId, startedAtMs, limitPerS])
-  return [isReady, isDraining, reachesWorkers, documentVersion, ...owned.flat(), ...rateLimitedShards, ...limits].join()
+  const notices = rateLimits.flatMap(({ workerId, startedAtMs, limitPerS, isLeaving }) => [workerId, startedAtMs, limitPerS, isLeaving])
+  return [isReady, isDraining, reachesWorkers, documentVersion, ...owned.flat(), ...rateLimitedShards, ...notices].join()
 }
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -46,7 +46,7 @@
     this._openCall = dependencies.workers.call(call, {
       onHead: head => {
         clearTimeout(this._noResponseTimer)
-        dependencies.noticeReporter.observe(worker, head.rateLimitPerS)
+        dependencies.noticeReporter.observe(worker, head.notice)
         listener.onHead(head)
       },
       onData: bytes => listener.onData(bytes),
@@ -109,7 +109,7 @@
     this._openCall = undefined
     const { dependencies, worker, listener } = this._options
     const outcome = outcomeOf(failure)
-    if (failure.type === 'refused' && failure.rateLimitPerS !== undefined) dependencies.noticeReporter.observe(worker, failure.rateLimitPerS)
+    if (failure.type === 'refused' && !failure.isMisdirected) dependencies.noticeReporter.observeRefusal(worker, failure.notice)
     if (failure.type === 'refused' && failure.isMisdirected) {
       dependencies.registry.markMisdirected(worker.workerId, steadyNowMs())
       this._failureSeverity = 1
--- a/packages/node/src/node/routed/workerNoticeReporter.ts
+++ b/packages/node/src/node/routed/workerNoticeReporter.ts
@@ -1,8 +1,8 @@
-/** Reports the rate limits that workers name in their answers to the coordinators of these workers. */
-import type { IWorkerNotices, WorkerNotice, WorkerRegistration } from '@trefoilshunt/core'
+/** Reports what workers say of themselves in their answers to the coordinators of these workers, which tell all nodes. */
+import type { AnswerNotice, IWorkerNotices, WorkerNotice, WorkerRegistration } from '@trefoilshunt/core'
 import { steadyNowMs } from '../steadyClock.js'
 
-/** An unchanged limit is reported again after this, in case the coordinator has changed or has missed a report. */
+/** An unchanged notice is reported again after this, in case the coordinator has changed or has missed a report. */
 const REPEAT_MS = 1_000
 
 export interface WorkerNoticeReporterOptions {
@@ -13,22 +13,28 @@
 
 /**
  * @example
- * reporter.observe(worker, 7.5)
+ * reporter.observe(worker, { limitPerS: 7.5 })
  */
 export class WorkerNoticeReporter {
-  private readonly _reported = new Map<string, { limitPerS: number | undefined, atMs: number }>()
+  private readonly _reported = new Map<string, AnswerNotice & { atMs: number }>()
 
   constructor (private readonly _options: WorkerNoticeReporterOptions) {}
 
-  /** Handles an answer of the worker; `limitPerS` is undefined if it names no limit. */
-  observe (worker: WorkerRegistration, limitPerS: number | undefined): void {
+  /** Handles an answer of the worker. */
+  observe (worker: WorkerRegistration, notice: AnswerNotice): void {
     const nowMs = steadyNowMs()
     const { workerId, startedAtMs } = worker
-    if (!this._options.notices.observe(worker, limitPerS, nowMs)) return
+    if (!this._options.notices.observe(worker, notice, nowMs)) return
+    const { limitPerS, isLeaving } = notice
     const last = this._reported.get(workerId)
-    if (last !== undefined && last.limitPerS === limitPerS && nowMs - last.atMs < REPEAT_MS) return
-    this._reported.set(workerId, { limitPerS, atMs: nowMs })
-    this._options.report(worker, { workerId, startedAtMs, limitPerS, agoMs: 0 })
+    if (last !== undefined && last.limitPerS === limitPerS && last.isLeaving === isLeaving && nowMs - last.atMs < REPEAT_MS) return
+    this._reported.set(workerId, { limitPerS, isLeaving, atMs: nowMs })
+    this._options.report(worker, { workerId, startedAtMs, limitPerS, isLeaving, agoMs: 0 })
+  }
+
+  /** Handles a refusal, which names a limit but not the end of one. */
+  observeRefusal (worker: WorkerRegistration, notice: AnswerNotice): void {
+    if (notice.limitPerS !== undefined || notice.isLeaving === true) this.observe(worker, notice)
   }
 
   removeWorker (workerId: string): void {
--- a/packages/node/test/node/routed/answerRelay.test.ts
+++ b/packages/node/test/node/routed/answerRelay.test.ts
@@ -21,7 +21,7 @@
   }
 }
 
-const PLAIN_HEAD = { status: 200, headers: [], isEventStream: false }
+const PLAIN_HEAD = { status: 200, headers: [], isEventStream: false, notice: {} }
 const LARGE = new Uint8Array(600 * 1024)
 
 test('a plain answer that is larger than the buffer reaches the caller only after its reservation is recorded', () => {
--- a/packages/node/test/node/routed/ownRates.test.ts
+++ b/packages/node/test/node/routed/ownRates.test.ts
@@ -11,7 +11,7 @@
 
 function createNodes (count: number): OwnRates[] {
   const notices = new WorkerNotices()
-  notices.observe(WORKER, LIMIT_PER_S, 0)
+  notices.observe(WORKER, { limitPerS: LIMIT_PER_S }, 0)
   return Array.from({ length: count }, (_, index) => new OwnRates({ notices, nodeCount: () => count, random: new SeededRandom(index) }))
 }
 
--- a/packages/node/test/node/routed/paths/relay.test.ts
+++ b/packages/node/test/node/routed/paths/relay.test.ts
@@ -10,8 +10,9 @@
 import { RelayServer } from '../../../../src/node/routed/paths/relayServer.js'
 import type { WorkerLinks } from '../../../../src/node/routed/paths/workerLinks.js'
 import { PeerMesh } from '../../../../src/node/routed/peerMesh.js'
+import type { WorkerNoticeReporter } from '../../../../src/node/routed/workerNoticeReporter.js'
 
-const HEAD = { status: 200, headers: [['server-seal', 'x']] as Array<[string, string]>, isEventStream: false, rateLimitPerS: 7 }
+const HEAD = { status: 200, headers: [['server-seal', 'x']] as Array<[string, string]>, isEventStream: false, notice: { limitPerS: 7 } }
 const WORKER: WorkerRegistration = { workerId: 'w', service: 's', address: '10.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: 4, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }
 /** Generous bound on what a peer reads from a worker ahead of the node that it relays for. */
 const MAX_AHEAD_BYTES = 256 * 1024
@@ -81,6 +82,7 @@
     registry: { find: (workerId: string) => workerId === WORKER.workerId ? WORKER : undefined } as unknown as IWorkerRegistry,
     routes: { findService: () => undefined } as unknown as IRouteTable,
     nodeCount: () => 2,
+    noticeReporter: { observe: () => {}, observeRefusal: () => {} } as unknown as WorkerNoticeReporter,
     beginRequest: () => {
       peer.openRequests++
       return () => { peer.openRequests-- }
@@ -112,12 +114,12 @@
   heads = 0
   bytes = 0
   isEnded = false
-  rateLimitPerS: number | undefined
+  limitPerS: number | undefined
   readonly failures: CallFailure[] = []
 
-  onHead ({ rateLimitPerS }: typeof HEAD): void {
+  onHead ({ notice }: typeof HEAD): void {
     this.heads++
-    this.rateLimitPerS = rateLimitPerS
+    this.limitPerS = notice.limitPerS
   }
 
   onData (bytes: Uint8Array): void {
@@ -167,7 +169,7 @@
   listener.onData(Buffer.from('answer'))
   listener.onEnd()
   await waitFor(() => recorder.isEnded)
-  assert.equal([recorder.heads, recorder.bytes, recorder.rateLimitPerS, recorder.failures], [1, 6, 7, []])
+  assert.equal([recorder.heads, recorder.bytes, recorder.limitPerS, recorder.failures], [1, 6, 7, []])
   assert.equal(peers.map(({ server, openRequests }) => [server.openCount, openRequests]), [[0, 0], [0, 0]])
   assert.is(client.openCount, 0)
 })
@@ -214,7 +216,7 @@
 })
 
 test('a refusal and a broken answer of the worker come back as they are', async ({ peers, client }) => {
-  for (const failure of [{ type: 'refused', isMisdirected: true, detail: 'x', rateLimitPerS: 3 }, { type: 'broken', detail: 'y' }] as CallFailure[]) {
+  for (const failure of [{ type: 'refused', isMisdirected: true, detail: 'x', notice: { limitPerS: 3 } }, { type: 'broken', detail: 'y' }] as CallFailure[]) {
     const recorder = new Recorder()
     client.call(createCall(), recorder)
     await waitFor(() => callsOf(peers).length === 1)
--- a/packages/node/test/node/routed/placementCoordinator.test.ts
+++ b/packages/node/test/node/routed/placementCoordinator.test.ts
@@ -16,7 +16,7 @@
   const registry = new WorkerRegistry()
   registry.update('w', WORKER, 0)
   const notices = new WorkerNotices()
-  notices.observe(WORKER, LIMIT_PER_S, 0)
+  notices.observe(WORKER, { limitPerS: LIMIT_PER_S }, 0)
   const routes: IRouteTable = new RouteTable(new SeededRandom(1))
   const coordinator = new PlacementCoordinator({ routes, registry, statistics: new WorkerStatistics(), notices, otherCoordinatorCount: () => otherCoordinatorCount, random: new SeededRandom(2), write: () => {} })
   let placed = 0
