--- a/packages/core/src/common/workers/workerNotices.ts
+++ b/packages/core/src/common/workers/workerNotices.ts
@@ -7,6 +7,9 @@
 /** A worker with a lower limit still gets requests at this rate, so that its answers show when the limit ends. */
 const MIN_RATE_PER_S = 0.25
 
+/** A notice of a worker without an entry is kept for this long. */
+const UNREGISTERED_RETENTION_MS = 60_000
+
 /** One start of a worker, which its notices apply to. */
 export type WorkerStart = Pick<WorkerRegistration, 'workerId' | 'startedAtMs'>
 
@@ -57,6 +60,8 @@
   isLeaving (worker: WorkerStart): boolean
   /** Removes what is known of a worker that is gone or has restarted. */
   removeWorker (workerId: string): void
+  /** Removes what is known of workers that `isRegistered` doesn't know, some time after their last answer: reports may come after a worker has gone, or before its entry is read. */
+  removeInactive (isRegistered: (workerId: string) => boolean, nowMs: number): void
 }
 export const IWorkerNotices = Symbol('IWorkerNotices')
 
@@ -107,6 +112,12 @@
     this._entries.delete(workerId)
   }
 
+  removeInactive (isRegistered: (workerId: string) => boolean, nowMs: number): void {
+    for (const [workerId, { observedAtMs }] of this._entries) {
+      if (nowMs - observedAtMs >= UNREGISTERED_RETENTION_MS && !isRegistered(workerId)) this._entries.delete(workerId)
+    }
+  }
+
   private _store (observation: Observation, nowMs: number): void {
     const { workerId, startedAtMs, observedAtMs } = observation
     const known = this._entries.get(workerId)
--- a/packages/core/src/common/workers/workerRegistry.ts
+++ b/packages/core/src/common/workers/workerRegistry.ts
@@ -1,5 +1,7 @@
 /** Registry of the workers that have registered themselves in the log. */
+import { inject, injectable } from 'tsyringe'
 import { Emitter, type Event } from '../kernel/emitter.js'
+import { IWorkerNotices, type NoticeChange, WorkerNotices } from './workerNotices.js'
 
 /** Registration that a worker writes about itself. */
 export interface WorkerRegistration {
@@ -11,6 +13,7 @@
   /** Version of the worker's software, not of the weights that it serves. */
   softwareVersion: string
   slots: number
+  /** True if it takes no new work, because its entry or an answer of it says so. */
   isDraining: boolean
   /** Start of the worker in Unix time; another start under the same id means a restarted worker that has lost its state. */
   startedAtMs: number
@@ -35,7 +38,7 @@
 
 /** Tracks the registered workers and which of them may get new work. */
 export interface IWorkerRegistry {
-  /** Fires with the previous registration of a worker that was removed, is draining or has restarted. */
+  /** Fires with the previous registration of a worker that was removed, is draining, has said that it leaves, or has restarted. */
   readonly onDidLoseWorker: Event<WorkerRegistration>
   /** Stores a registration; undefined removes it, or only marks it as removed while it may be registered again. */
   update (workerId: string, registration: WorkerRegistration | undefined, nowMs: number): void
@@ -59,12 +62,13 @@
 export const IWorkerRegistry = Symbol('IWorkerRegistry')
 
 /**
- * Keeps the registrations in memory.
+ * Keeps the registrations in memory. A worker that says in its answers that it leaves counts as draining, whatever its entry says: the entry may be old.
  *
  * @example
  * registry.update('i-7f3a', registration, nowMs)
  * registry.workersOf('orders', nowMs)
  */
+@injectable()
 export class WorkerRegistry implements IWorkerRegistry {
   private readonly _entries = new Map<string, Entry>()
   /** By service, the time at which a worker of a software version last left. */
@@ -75,6 +79,10 @@
 
   readonly onDidLoseWorker = this._onDidLoseWorker.event
 
+  constructor (@inject(IWorkerNotices) private readonly _notices: IWorkerNotices = new WorkerNotices()) {
+    this._notices.onDidChange(change => this._handleNotice(change))
+  }
+
   update (workerId: string, registration: WorkerRegistration | undefined, nowMs: number): void {
     const known = this._entries.get(workerId)
     if (registration === undefined) {
@@ -122,7 +130,7 @@
       if (misdirectedAtMs !== undefined && nowMs - misdirectedAtMs < MISDIRECTED_RETRY_MS) continue
       if (removedAtMs !== undefined && !this._mayHaveLapsed(nowMs)) {
         this._remove(workerId, nowMs)
-      } else if (!registration.isDraining) {
+      } else if (!this._isDraining(registration)) {
         workers.push(registration)
       }
     }
@@ -142,7 +150,17 @@
   }
 
   find (workerId: string): WorkerRegistration | undefined {
-    return this._entries.get(workerId)?.registration
+    const registration = this._entries.get(workerId)?.registration
+    return registration === undefined || registration.isDraining === this._isDraining(registration) ? registration : { ...registration, isDraining: true }
+  }
+
+  private _isDraining (registration: WorkerRegistration): boolean {
+    return registration.isDraining || this._notices.isLeaving(registration)
+  }
+
+  private _handleNotice ({ workerId, startedAtMs, isLeaving }: NoticeChange): void {
+    const known = this._entries.get(workerId)?.registration
+    if (isLeaving && known?.startedAtMs === startedAtMs) this._onDidLoseWorker.fire(known)
   }
 
   private _mayHaveLapsed (nowMs: number): boolean {
--- a/packages/core/test/common/workers/workerNotices.test.ts
+++ b/packages/core/test/common/workers/workerNotices.test.ts
@@ -86,4 +86,15 @@
   assert.is(other.rateOf(WORKER), 3, 'the newer answer decides on the limit')
 })
 
+test('what is reported of a worker that has gone is forgotten after a while', () => {
+  const notices = new WorkerNotices()
+  notices.applyReports([{ ...WORKER, isLeaving: true, agoMs: 0 }, { ...WORKER, workerId: 'registered', isLeaving: true, agoMs: 0 }], 0)
+  const isRegistered = (workerId: string): boolean => workerId === 'registered'
+  notices.removeInactive(isRegistered, 1_000)
+  assert.ok(notices.isLeaving(WORKER), 'its entry may not be read yet')
+  notices.removeInactive(isRegistered, 600_000)
+  assert.not.ok(notices.isLeaving(WORKER))
+  assert.ok(notices.isLeaving({ ...WORKER, workerId: 'registered' }))
+})
+
 test.run()
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -140,6 +140,8 @@
   | { type: 'place', shard: ServiceShard, from: string, request: PlacementRequest }
   /** Returns a slot, or withdraws the request for one. Gets no reply. */
   | { type: 'release', shard: ServiceShard, placementId: string, end: PlacementEnd }
+  /** Tells a node that has just started what workers have said. Gets no reply. */
+  | { type: 'notices', reports: WorkerNotice[] }
   /** Reports what a worker says to its coordinator. Gets no reply. */
   | { type: 'rateLimit', report: WorkerNotice }
   /** Requests a turn from the owner of the program's partition; `isKept` if the turn will be retained. */
--- a/packages/node/src/common/routed/workerClient.ts
+++ b/packages/node/src/common/routed/workerClient.ts
@@ -32,14 +32,23 @@
   notice: AnswerNotice
 }
 
-/** Why a call brought no complete answer. */
+/** Reasons of this node's for the end of a call; they are no failures of the worker. */
+export const CallEndCause = {
+  /** This node is cut off from the workers. */
+  CutOff: 'cutOff',
+  /** The worker takes no new requests, or is gone. */
+  WorkerLost: 'workerLost'
+} as const
+export type CallEndCause = typeof CallEndCause[keyof typeof CallEndCause]
+
+/** Why a call brought no complete answer. `cause` is absent if the worker or the connection to it failed. */
 export type CallFailure =
-  /** No byte of the request was sent. `isOwnLink` if this node has lost its links, which says nothing about the worker. */
-  | { type: 'notSent', detail: string, isOwnLink?: boolean }
+  /** No byte of the request was sent. */
+  | { type: 'notSent', detail: string, cause?: CallEndCause }
   /** The worker reported that it did not run the request; `isMisdirected` if it isn't the worker that the call names. */
   | { type: 'refused', isMisdirected: boolean, detail: string, notice: AnswerNotice }
   /** The call ended early after the request was sent; it may have run. */
-  | { type: 'broken', detail: string, isOwnLink?: boolean }
+  | { type: 'broken', detail: string, cause?: CallEndCause }
 
 /** Receives the answer or the failure of one call. */
 export interface IWorkerCallListener {
--- a/packages/node/src/node/routed/paths/directCall.ts
+++ b/packages/node/src/node/routed/paths/directCall.ts
@@ -1,9 +1,10 @@
 /** One call over this node's own links to the workers. */
 import type { WorkerContact } from '@trefoilshunt/core'
-import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, IWorkerClient, WorkerAnswerHead, WorkerCall } from '../../../common/routed/workerClient.js'
+import { CallEndCause, type CallFailure, type IOpenWorkerCall, type IWorkerCallListener, type IWorkerClient, type WorkerAnswerHead, type WorkerCall } from '../../../common/routed/workerClient.js'
 import { steadyNowMs } from '../../steadyClock.js'
 
 const CUT_OFF_DETAIL = 'this node is cut off from the workers'
+const WORKER_LOST_DETAIL = 'the worker takes no new requests'
 
 export interface DirectCallOptions {
   call: WorkerCall
@@ -79,7 +80,18 @@
     const { isSent } = this
     if (this._isEnded || (isSent && !this._options.call.isRepeatable)) return
     this._open?.abort()
-    this.onFailed({ type: isSent ? 'broken' : 'notSent', detail: CUT_OFF_DETAIL, isOwnLink: true })
+    this.onFailed({ type: isSent ? 'broken' : 'notSent', detail: CUT_OFF_DETAIL, cause: CallEndCause.CutOff })
+  }
+
+  /** Ends a call that waits for a connection to a worker that takes no new requests. */
+  handleWorkerLost (): void {
+    if (this._isEnded || this.isSent) return
+    this._open?.abort()
+    this.onFailed({ type: 'notSent', detail: WORKER_LOST_DETAIL, cause: CallEndCause.WorkerLost })
+  }
+
+  get workerId (): string {
+    return this._options.call.workerId
   }
 
   private _end (failure?: CallFailure): void {
--- a/packages/node/src/node/routed/paths/relayClient.ts
+++ b/packages/node/src/node/routed/paths/relayClient.ts
@@ -1,7 +1,7 @@
 /** Has peers call workers that this node doesn't reach. */
 import { type LogFields, ProbeResult } from '@trefoilshunt/core'
 import type { PeerReply, RelayedWorkerCall } from '../../../common/routed/routedPeerMessages.js'
-import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerCall } from '../../../common/routed/workerClient.js'
+import { CallEndCause, type CallFailure, type IOpenWorkerCall, type IWorkerCallListener, type WorkerCall } from '../../../common/routed/workerClient.js'
 import type { NodeDirectory } from '../nodeDirectory.js'
 import type { PeerMesh } from '../peerMesh.js'
 
@@ -121,7 +121,7 @@
   start (): void {
     const peer = this._triedPeers.size < MAX_PEERS ? this._options.selectPeer(this._triedPeers) : undefined
     if (peer === undefined) {
-      queueMicrotask(() => this._fail({ type: 'notSent', detail: 'no peer reaches the workers', isOwnLink: this._triedPeers.size === 0 }))
+      queueMicrotask(() => this._fail({ type: 'notSent', detail: 'no peer reaches the workers', cause: this._triedPeers.size === 0 ? CallEndCause.CutOff : undefined }))
       return
     }
     const { mesh, call: { address, maxConnections, ...call }, createId, onBegun } = this._options
@@ -169,7 +169,7 @@
   }
 
   private _handleFailure (failure: CallFailure): void {
-    if (failure.type !== 'notSent') {
+    if (failure.type !== 'notSent' || failure.cause === CallEndCause.WorkerLost) {
       this._fail(failure)
       return
     }
--- a/packages/node/src/node/routed/paths/relayServer.ts
+++ b/packages/node/src/node/routed/paths/relayServer.ts
@@ -1,7 +1,7 @@
 /** Calls workers for peers that don't reach them. */
-import { type AnswerNotice, type IRouteTable, type IWorkerRegistry, type LogFields, ProbeResult } from '@trefoilshunt/core'
+import { type AnswerNotice, type IRouteTable, type IWorkerRegistry, type LogFields, ProbeResult, type WorkerRegistration } from '@trefoilshunt/core'
 import type { PeerRequest, RelayedWorkerCall } from '../../../common/routed/routedPeerMessages.js'
-import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerAnswerHead } from '../../../common/routed/workerClient.js'
+import { CallEndCause, type CallFailure, type IOpenWorkerCall, type IWorkerCallListener, type WorkerAnswerHead } from '../../../common/routed/workerClient.js'
 import type { PeerRequester, PeerResponder } from '../peerMesh.js'
 import type { WorkerNoticeReporter } from '../workerNoticeReporter.js'
 import { connectionShareOf } from './connectionShare.js'
@@ -14,6 +14,8 @@
 /** A call is ended this long after its deadline, in case the peer was lost without a sign. */
 const EXPIRY_GRACE_MS = 500
 
+const WORKER_UNKNOWN: CallFailure = { type: 'notSent', detail: 'the worker is not known here' }
+
 export interface RelayServerOptions {
   links: WorkerLinks
   registry: IWorkerRegistry
@@ -59,6 +61,14 @@
     }
   }
 
+  /** Why no call to the worker is made from here; undefined if one is. */
+  private _refusalOf (worker: WorkerRegistration | undefined): CallFailure | undefined {
+    if (worker === undefined) return WORKER_UNKNOWN
+    if (worker.isDraining) return { type: 'notSent', detail: 'the worker takes no new requests', cause: CallEndCause.WorkerLost }
+    if (this._calls.size >= MAX_CALLS) return { type: 'notSent', detail: 'too many calls for peers' }
+    if (!this._options.links.mayCall(worker)) return { type: 'notSent', detail: 'the worker is not reached from here either' }
+  }
+
   private async _probe (workerId: string, respond: PeerResponder): Promise<void> {
     const worker = this._options.registry.find(workerId)
     // A node that is cut off can't tell a crashed worker from its own links.
@@ -69,12 +79,10 @@
   private _serve (relayId: string, call: RelayedWorkerCall, respond: PeerResponder, requester: PeerRequester): void {
     const { links, registry, routes, nodeCount, noticeReporter, beginRequest, write } = this._options
     const worker = registry.find(call.workerId)
-    const problem = worker === undefined
-      ? 'the worker is not known here'
-      : this._calls.size >= MAX_CALLS ? 'too many calls for peers' : links.mayCall(worker) ? undefined : 'the worker is not reached from here either'
-    if (worker === undefined || problem !== undefined) {
-      write('relayRefused', { requestId: call.requestId, worker: call.workerId, detail: problem })
-      respond({ type: 'relayFailed', failure: { type: 'notSent', detail: problem ?? '' } }, true)
+    const refusal = this._refusalOf(worker)
+    if (worker === undefined || refusal !== undefined) {
+      write('relayRefused', { requestId: call.requestId, worker: call.workerId, detail: refusal?.detail })
+      respond({ type: 'relayFailed', failure: refusal ?? WORKER_UNKNOWN }, true)
       return
     }
     const endRequest = beginRequest()
--- a/packages/node/src/node/routed/paths/workerGateway.ts
+++ b/packages/node/src/node/routed/paths/workerGateway.ts
@@ -1,6 +1,6 @@
 /** Calls workers over this node's own links or, where these are lost, through peers. */
 import { ProbeResult, type WorkerRegistration } from '@trefoilshunt/core'
-import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerCall } from '../../../common/routed/workerClient.js'
+import { CallEndCause, type CallFailure, type IOpenWorkerCall, type IWorkerCallListener, type WorkerCall } from '../../../common/routed/workerClient.js'
 import { steadyNowMs } from '../../steadyClock.js'
 import type { RelayClient } from './relayClient.js'
 import type { WorkerLinks } from './workerLinks.js'
@@ -94,8 +94,8 @@
   private _onDirectFailed (failure: CallFailure): void {
     if (this._isAborted) return
     const isFast = steadyNowMs() - this._startedMs < FAST_FAILURE_MS
-    const mayRelay = failure.type === 'notSent' && (isFast || failure.isOwnLink === true) && this._relays.isAvailable
-    if (mayRelay) this._relay()
+    const isOwnFault = failure.type === 'notSent' && (failure.cause === CallEndCause.CutOff || (failure.cause === undefined && isFast))
+    if (isOwnFault && this._relays.isAvailable) this._relay()
     else this._listener.onFailed(failure)
   }
 
--- a/packages/node/src/node/routed/paths/workerLinks.ts
+++ b/packages/node/src/node/routed/paths/workerLinks.ts
@@ -94,8 +94,12 @@
     return this._options.client.hasIdleConnection(address)
   }
 
+  /** Ends the calls that wait for a connection to a worker that takes no new requests or is gone; those that were sent go on. */
   removeWorker ({ workerId, address }: WorkerRegistration): void {
     this._paths.removeWorker(workerId)
+    for (const call of [...this._calls]) {
+      if (call.workerId === workerId) call.handleWorkerLost()
+    }
     this._options.client.closeConnections(address)
   }
 
@@ -105,7 +109,7 @@
   }
 
   private _recordFailure ({ workerId, address, requestId }: WorkerCall, failure: CallFailure): void {
-    if (failure.type !== 'notSent' || failure.isOwnLink === true) return
+    if (failure.type !== 'notSent' || failure.cause !== undefined) return
     this._failedConnections++
     this._options.write('workerConnectionFailed', { requestId, worker: workerId, address, detail: failure.detail, silenceMs: Math.round(this.silenceMs) })
     this._paths.recordConnectFailure(workerId, steadyNowMs())
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -1,7 +1,7 @@
 /** A node that serves routed requests: creates and connects its parts, starts them and stops them in order. */
 import { randomBytes } from 'node:crypto'
 import {
-  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, type NoticeChange, type WorkerNotice, WorkerChoiceOptions
+  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, WorkerChoiceOptions
 } from '@trefoilshunt/core'
 import { Metrics } from '../../common/metrics.js'
 import type { ILogClient } from '../../common/routed/logClient.js'
@@ -13,6 +13,7 @@
 import { PoisonRequestDetector } from './poisonRequestDetector.js'
 import { type IRoutedCodec, ClusterView } from './clusterView.js'
 import { NodeDirectory } from './nodeDirectory.js'
+import { NoticeExchange } from './noticeExchange.js'
 import { NodeGauges } from './nodeGauges.js'
 import { OwnRates } from './ownRates.js'
 import { RelayClient } from './paths/relayClient.js'
@@ -38,7 +39,7 @@
 const FLUSH_TIMEOUT_MS = 1_500
 /** Reserved for the last steps of a stop before the platform kills the process. */
 const STOP_MARGIN_MS = 700
-const PEER_CLEANUP_PERIOD_MS = 10_000
+const CLEANUP_PERIOD_MS = 10_000
 
 export interface RoutedDaemonOptions {
   node: string
@@ -82,6 +83,7 @@
   private readonly _registry: IWorkerRegistry
   private readonly _statistics: IWorkerStatistics
   private readonly _notices: IWorkerNotices
+  private readonly _noticeExchange: NoticeExchange
   private readonly _links: WorkerLinks
   private readonly _relayServer: RelayServer
   private readonly _directory: NodeDirectory
@@ -96,7 +98,7 @@
   private readonly _statusBroadcast: StatusBroadcast
   private readonly _callDependencies: RoutedCallDependencies
   private readonly _gauges: NodeGauges
-  private _peerCleanupTimer: NodeJS.Timeout | undefined
+  private _cleanupTimer: NodeJS.Timeout | undefined
   private _openRequestCount = 0
   private _isDraining = false
   private _isStopped = false
@@ -111,7 +113,6 @@
     this._statistics = container.resolve<IWorkerStatistics>(IWorkerStatistics)
     this._notices = container.resolve<IWorkerNotices>(IWorkerNotices)
     const write = (event: string, fields: LogFields): void => this._write('info', event, fields)
-    this._notices.onDidChange(change => this._logNotice(change))
     this._links = new WorkerLinks({ client: _options.workers, registry: this._registry, random: container.resolve<IRandom>(IRandom), hasRelay: () => relays.isAvailable, write })
     this._links.onDidChange(() => this._statusBroadcast.send())
     this._directory = new NodeDirectory({
@@ -133,7 +134,10 @@
       self: this._self,
       onStatus: status => this._applyStatus(status),
       onRequest: (request, respond, requester) => this._handlePeerRequest(request, respond, requester),
-      onConnected: peer => write('peerConnected', { peer }),
+      onConnected: peer => {
+        write('peerConnected', { peer })
+        this._noticeExchange.tell(peer)
+      },
       onDisconnected: (peer, detail) => {
         write('peerLost', { peer, detail })
         this._statistics.removePeerLoad(peer)
@@ -192,6 +196,7 @@
       coordinator: this._coordinator,
       write
     })
+    this._noticeExchange = new NoticeExchange({ node, notices: this._notices, registry: this._registry, directory: this._directory, mesh: this._mesh, isCoordinatorOf: worker => this._slots.isCoordinatorOf(worker), write })
     this._streamOrigins = new StreamOrigins({
       registry: this._registry,
       directory: this._directory,
@@ -261,7 +266,7 @@
     this._partitionHost.start()
     void this._clusterView.announce(this._self)
     this._statusBroadcast.start()
-    this._peerCleanupTimer = setInterval(() => this._directory.removeInactive(), PEER_CLEANUP_PERIOD_MS)
+    this._cleanupTimer = setInterval(() => this._removeInactive(), CLEANUP_PERIOD_MS)
   }
 
   /** Handles a caller's request; the answer or a refusal goes to `sink`. */
@@ -306,7 +311,7 @@
     if (this._isStopped) return
     this._isStopped = true
     this._statusBroadcast.stop()
-    clearInterval(this._peerCleanupTimer)
+    clearInterval(this._cleanupTimer)
     this._gauges.stop()
     this._clusterView.stop()
     this._partitionHost.close()
@@ -330,24 +335,15 @@
     return this._options.cores ?? 1
   }
 
-  /** What the workers say that this node coordinates. */
-  private get _coordinatedNotices (): WorkerNotice[] {
-    return this._notices.reports(steadyNowMs()).filter(({ workerId }) => {
-      const worker = this._registry.find(workerId)
-      return worker !== undefined && this._slots.isCoordinatorOf(worker)
-    })
-  }
-
-  private _logNotice ({ workerId, startedAtMs, limitPerS, isLeaving }: NoticeChange): void {
-    const worker = { worker: workerId, startedAtMs }
-    if (isLeaving) this._write('info', 'workerLeaving', { ...worker, isDraining: this._registry.find(workerId)?.isDraining })
-    else this._write('info', 'workerRateLimit', { ...worker, limitPerS, isLimited: limitPerS !== undefined })
+  private _removeInactive (): void {
+    this._directory.removeInactive()
+    this._noticeExchange.removeInactive()
   }
 
   private _composeStatus (): Omit<NodeStatus, 'periodMs' | 'peers'> {
     const crashes = this._poisonRequestDetector.observedCrashes
     const { rateLimitedShards } = this._coordinator
-    const rateLimits = this._coordinatedNotices
+    const rateLimits = this._noticeExchange.coordinated
     return {
       type: 'status',
       from: this._self,
@@ -370,7 +366,7 @@
     this._statistics.setPeerLoad(status.from.node, status.load)
     this._partitionHost.applyPeerOwnership(status.owned)
     this._poisonRequestDetector.applyPeerCrashes(status.crashes ?? [])
-    this._notices.applyReports(status.rateLimits ?? [], steadyNowMs())
+    this._noticeExchange.apply(status.rateLimits ?? [])
     if (status.documentVersion > this._routes.version) void this._clusterView.fetchDocument(status.from.node)
   }
 
@@ -379,7 +375,8 @@
     switch (request.type) {
       case 'place': return this._coordinator.place(request.shard, request.from, request.request, respond)
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
-      case 'rateLimit': return this._notices.applyReports([request.report], steadyNowMs())
+      case 'rateLimit': return this._noticeExchange.apply([request.report])
+      case 'notices': return this._noticeExchange.apply(request.reports)
       case 'topic': return respond({ type: 'topicContent', records: this._clusterView.contentOf(request.topic) }, true)
     }
   }
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -114,7 +114,7 @@
       dependencies.registry.markMisdirected(worker.workerId, steadyNowMs())
       this._failureSeverity = 1
       dependencies.write('workerDenied', { worker: worker.workerId, address: worker.address })
-    } else if (failure.type !== 'refused' && failure.isOwnLink === true) {
+    } else if (failure.type !== 'refused' && failure.cause !== undefined) {
       this._failureSeverity = 0
     } else {
       this._recordFailure(outcome === AttemptOutcome.Refused ? ANSWERED_SEVERITY : 1)
--- a/packages/node/test/node/routed/paths/relay.test.ts
+++ b/packages/node/test/node/routed/paths/relay.test.ts
@@ -4,7 +4,7 @@
 import * as assert from 'uvu/assert'
 import { Emitter, type IRouteTable, type IWorkerRegistry, type WorkerRegistration } from '@trefoilshunt/core'
 import type { NodeAddress } from '../../../../src/common/routed/routedPeerMessages.js'
-import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerCall } from '../../../../src/common/routed/workerClient.js'
+import { CallEndCause, type CallFailure, type IOpenWorkerCall, type IWorkerCallListener, type WorkerCall } from '../../../../src/common/routed/workerClient.js'
 import type { NodeDirectory } from '../../../../src/node/routed/nodeDirectory.js'
 import { RelayClient } from '../../../../src/node/routed/paths/relayClient.js'
 import { RelayServer } from '../../../../src/node/routed/paths/relayServer.js'
@@ -45,6 +45,8 @@
   server: RelayServer
   /** False if the peer doesn't reach the worker. */
   isReaching: boolean
+  /** True if the peer knows that the worker takes no new requests. */
+  isWorkerDraining: boolean
   openRequests: number
 }
 
@@ -79,7 +81,7 @@
   } as unknown as WorkerLinks
   const server = new RelayServer({
     links,
-    registry: { find: (workerId: string) => workerId === WORKER.workerId ? WORKER : undefined } as unknown as IWorkerRegistry,
+    registry: { find: (workerId: string) => workerId === WORKER.workerId ? { ...WORKER, isDraining: peer.isWorkerDraining } : undefined } as unknown as IWorkerRegistry,
     routes: { findService: () => undefined } as unknown as IRouteTable,
     nodeCount: () => 2,
     noticeReporter: { observe: () => {}, observeRefusal: () => {} } as unknown as WorkerNoticeReporter,
@@ -97,7 +99,7 @@
     onDisconnected: () => {}
   })
   await mesh.listen()
-  const peer: Peer = { address, mesh, calls, server, isReaching: true, openRequests: 0 }
+  const peer: Peer = { address, mesh, calls, server, isReaching: true, isWorkerDraining: false, openRequests: 0 }
   return peer
 }
 
@@ -212,7 +214,16 @@
   const recorder = new Recorder()
   client.call(createCall(), recorder)
   await waitFor(() => recorder.failures.length > 0)
-  assert.equal(recorder.failures.map(failure => [failure.type, failure.type === 'notSent' && failure.isOwnLink === true]), [['notSent', false]])
+  assert.equal(recorder.failures.map(failure => [failure.type, failure.type === 'notSent' ? failure.cause : '']), [['notSent', undefined]])
+})
+
+test('a peer that knows that the worker takes no new requests makes no call, and no other peer does', async ({ peers, client }) => {
+  for (const peer of peers) peer.isWorkerDraining = true
+  const recorder = new Recorder()
+  client.call(createCall(), recorder)
+  await waitFor(() => recorder.failures.length > 0)
+  assert.equal(recorder.failures.map(failure => [failure.type, failure.type === 'notSent' ? failure.cause : '']), [['notSent', CallEndCause.WorkerLost]])
+  assert.is(callsOf(peers).length, 0)
 })
 
 test('a refusal and a broken answer of the worker come back as they are', async ({ peers, client }) => {
