--- a/packages/node/test/node/routed/streamOrigins.test.ts
+++ b/packages/node/test/node/routed/streamOrigins.test.ts
@@ -1,99 +1,7 @@
 /** Tests what nodes know of the software version that began a stream. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { type WorkerRegistration, WorkerRegistry } from '@trefoilshunt/core'
-import type { NodeAddress, NodeStatus, PeerReply, PeerRequest } from '@trefoilshunt/node/routed'
-import { NodeDirectory } from '../../../src/node/routed/nodeDirectory.js'
-import type { PeerMesh } from '../../../src/node/routed/peerMesh.js'
-import { type OriginOutcome, StreamOrigins } from '../../../src/node/routed/streamOrigins.js'
-import { VirtualTime } from './virtualTime.js'
-
-const SERVICE = 'engines'
-const HOP_MS = 2
-const LONG_MS = 30_000
-
-interface TestNode {
-  origins: StreamOrigins
-  registry: WorkerRegistry
-  /** Time at which the node read the list of workers; it is behind a cut from the log since `silentSinceMs`. */
-  listReadAtMs: number
-  silentSinceMs: number | undefined
-  sentCount: number
-  isCut: boolean
-}
-
-function createWorker (workerId: string, softwareVersion: string): WorkerRegistration {
-  return { workerId, service: SERVICE, address: '127.0.0.1:1', zone: 'a', softwareVersion, slots: 4, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }
-}
-
-function createAddress (node: string): NodeAddress {
-  return { node, zone: 'a', incarnation: '1', peerAddress: `${node}:1`, callerAddress: node }
-}
-
-/** Nodes that exchange their messages in memory and know one worker of version v1. */
-function createNodes (time: VirtualTime, names: readonly string[]): Map<string, TestNode> {
-  const nodes = new Map<string, TestNode>()
-  for (const name of names) {
-    const registry = new WorkerRegistry()
-    registry.update('a1', createWorker('a1', 'v1'), time.nowMs)
-    const directory = new NodeDirectory({ self: createAddress(name), nowMs: () => performance.now(), onAdded: () => {}, onRemoved: () => {} })
-    for (const peer of names) {
-      const status: NodeStatus = { type: 'status', from: createAddress(peer), periodMs: 1_000_000, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs: 0, load: {} }
-      if (peer !== name) directory.applyStatus(status)
-    }
-    const deliver = (to: string, request: PeerRequest, onReply: (reply: PeerReply | undefined) => void): void => {
-      node.sentCount++
-      setTimeout(() => {
-        const peer = nodes.get(to)
-        if (peer !== undefined && !peer.isCut && !node.isCut) peer.origins.handle(request, reply => setTimeout(() => onReply(reply), HOP_MS))
-      }, HOP_MS)
-    }
-    const mesh = {
-      request: (to: string, request: PeerRequest, { timeoutMs, onReply }: { timeoutMs: number, onReply: (reply: PeerReply | undefined) => void }) => {
-        const timer = setTimeout(() => onReply(undefined), timeoutMs)
-        deliver(to, request, reply => {
-          clearTimeout(timer)
-          onReply(reply)
-        })
-      },
-      notify: (to: string, request: PeerRequest) => deliver(to, request, () => {})
-    } as unknown as PeerMesh
-    const node: TestNode = {
-      registry,
-      listReadAtMs: time.nowMs,
-      silentSinceMs: undefined,
-      sentCount: 0,
-      isCut: false,
-      origins: new StreamOrigins({
-        registry,
-        directory,
-        mesh,
-        listKnownForMs: () => time.nowMs - node.listReadAtMs,
-        listSilenceMs: () => node.silentSinceMs === undefined ? 0 : time.nowMs - node.silentSinceMs,
-        write: () => {}
-      })
-    }
-    nodes.set(name, node)
-  }
-  return nodes
-}
-
-async function resolve (time: VirtualTime, node: TestNode | undefined, requestId: string | undefined): Promise<string> {
-  let outcome: OriginOutcome | undefined
-  void node?.origins.resolve(requestId, SERVICE).then(result => { outcome = result })
-  await time.advance(200)
-  return outcome?.type === 'known' ? outcome.origin.softwareVersion : outcome?.type ?? 'none'
-}
-
-/** Runs a test with nodes that have known the workers for `ageMs`. */
-async function run (names: readonly string[], ageMs: number, body: (time: VirtualTime, nodes: Map<string, TestNode>) => Promise<void>): Promise<void> {
-  await VirtualTime.run(async time => {
-    const nodes = createNodes(time, names)
-    await time.advance(ageMs)
-    await body(time, nodes)
-    for (const { origins } of nodes.values()) origins.dispose()
-  })
-}
+import { createWorker, LONG_MS, resolve, run, SERVICE, type TestNode } from './streamOriginNodes.js'
 
 const NAMES = ['n0', 'n1', 'n2', 'n3', 'n4', 'n5', 'n6', 'n7']
 const V1 = { service: SERVICE, softwareVersion: 'v1' }
@@ -123,7 +31,7 @@
   await run(NAMES, LONG_MS, async (time, nodes) => {
     for (const { registry } of nodes.values()) {
       registry.update('b1', createWorker('b1', 'v2'), time.nowMs)
-      registry.update('a1', undefined, time.nowMs)
+      registry.update('w-v1', undefined, time.nowMs)
     }
     assert.is(await resolve(time, nodes.get('n1'), 'r'), 'unknown')
     await time.advance(LONG_MS)
