--- a/packages/node/src/node/routed/streamOrigins.ts
+++ b/packages/node/src/node/routed/streamOrigins.ts
@@ -51,6 +51,8 @@
   /** Services whose beginnings are sent to peers. */
   private readonly _sharedServices = new Set<string>()
   private readonly _timer: NodeJS.Timeout
+  /** Time at which a peer was last known to be without the log. */
+  private _staleListSeenAtMs = Number.NEGATIVE_INFINITY
 
   constructor (private readonly _options: StreamOriginsOptions) {
     this._timer = setInterval(() => this._update(), CHECK_PERIOD_MS)
@@ -127,7 +129,10 @@
     const { registry, listKnownForMs, listSilenceMs } = this._options
     const versions = registry.softwareVersionsOf(service, steadyNowMs())
     if (versions.length > 1) return { versions: VersionKnowledge.Several }
-    const isCertain = versions.length === 1 && (listKnownForMs() ?? 0) >= MEMORY_MS && listSilenceMs() < LIST_FRESH_MS
+    const nowMs = steadyNowMs()
+    // A peer without the log may still begin streams at a version that has left the list.
+    const isListShared = nowMs - this._staleListSeenAtMs >= MEMORY_MS
+    const isCertain = versions.length === 1 && (listKnownForMs() ?? 0) >= MEMORY_MS && listSilenceMs() < LIST_FRESH_MS && isListShared
     return isCertain ? { versions: VersionKnowledge.Single, version: versions[0] } : { versions: VersionKnowledge.Unknown }
   }
 
@@ -154,6 +159,7 @@
 
   private _update (): void {
     const nowMs = steadyNowMs()
+    if (this._options.directory.alive.some(({ logSilenceMs }) => logSilenceMs >= LIST_FRESH_MS)) this._staleListSeenAtMs = nowMs
     const services = new Set<string>()
     for (const [requestId, { atMs, service, isOwn }] of this._beginnings) {
       if (nowMs - atMs >= MEMORY_MS) this._beginnings.delete(requestId)
