--- a/packages/core/src/common/paths/workerPaths.ts
+++ b/packages/core/src/common/paths/workerPaths.ts
@@ -61,7 +61,7 @@
  *
  * @example
  * paths.contact.beginWait(nowMs)
- * const probed = paths.beginRound(workers, nowMs)
+ * const probed = paths.beginRound(() => workers, nowMs)
  * paths.endRound(await probe(probed), hasRelay, nowMs)
  * paths.isCutOff
  */
@@ -114,11 +114,12 @@
     this._probedAtMs.delete(workerId)
   }
 
-  /** The workers to connect to now; none if there is no reason, or a round is open. After the probes of a round that isn't empty, `endRound` must be called. */
-  beginRound (workers: readonly WorkerRegistration[], nowMs: number): WorkerRegistration[] {
+  /** The workers to connect to now, out of those that `listWorkers` returns; none if there is no reason, or a round is open. After the probes of a round that isn't empty, `endRound` must be called. */
+  beginRound (listWorkers: () => readonly WorkerRegistration[], nowMs: number): WorkerRegistration[] {
     if (this._isRoundOpen) return []
     const isDue = nowMs >= this._nextRoundAtMs && (this._isCutOff || this._isSuspicious(nowMs))
-    const probed = isDue ? this._drawWorkers(workers) : this._lostWorkers(workers, nowMs)
+    if (!isDue && this._lost.size === 0) return []
+    const probed = isDue ? this._drawWorkers(listWorkers()) : this._lostWorkers(listWorkers(), nowMs)
     for (const { workerId } of probed) this._probedAtMs.set(workerId, nowMs)
     this._isRoundOpen = probed.length > 0
     this._isRoundDecisive = isDue
@@ -171,7 +172,6 @@
   }
 
   private _lostWorkers (workers: readonly WorkerRegistration[], nowMs: number): WorkerRegistration[] {
-    if (this._lost.size === 0) return []
     return workers.filter(({ workerId }) => nowMs >= (this._lost.get(workerId) ?? Number.POSITIVE_INFINITY)).slice(0, this._options.probesPerRound)
   }
 }
--- a/packages/core/test/common/paths/workerPaths.test.ts
+++ b/packages/core/test/common/paths/workerPaths.test.ts
@@ -16,7 +16,7 @@
 
 /** Plays one round; `resultOf` decides what each probe finds. Returns the number of probes. */
 function playRound (paths: WorkerPaths, workers: readonly WorkerRegistration[], nowMs: number, resultOf: (workerId: string) => ProbeResult, hasRelay = true): number {
-  const probed = paths.beginRound(workers, nowMs)
+  const probed = paths.beginRound(() => workers, nowMs)
   if (probed.length > 0) paths.endRound(probed.map(({ workerId }) => ({ workerId, result: resultOf(workerId) })), hasRelay, nowMs)
   return probed.length
 }
@@ -65,7 +65,7 @@
 test('a worker that is heard while the probes run clears the suspicion', () => {
   const paths = createPaths()
   paths.contact.beginWait(START_MS)
-  const probed = paths.beginRound(createWorkers(8), START_MS + silenceMs)
+  const probed = paths.beginRound(() => createWorkers(8), START_MS + silenceMs)
   paths.recordHeard(START_MS + silenceMs + 100)
   paths.endRound(probed.map(({ workerId }) => ({ workerId, result: ProbeResult.Silent })), true, START_MS + silenceMs + 200)
   assert.not.ok(paths.isCutOff)
--- a/packages/node/src/node/routed/paths/workerLinks.ts
+++ b/packages/node/src/node/routed/paths/workerLinks.ts
@@ -117,7 +117,7 @@
 
   private async _probe (): Promise<void> {
     const { client, registry, write } = this._options
-    const workers = this._paths.beginRound(registry.allWorkers(steadyNowMs()), steadyNowMs())
+    const workers = this._paths.beginRound(() => registry.allWorkers(steadyNowMs()), steadyNowMs())
     if (workers.length === 0) return
     const { silenceMs } = this
     const probes = await Promise.all(workers.map(async ({ workerId, address }): Promise<WorkerProbe> => ({ workerId, result: await client.probe(address, PROBE_TIMEOUT_MS) })))
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -6,7 +6,7 @@
 import type { WorkerAnswerHead } from '../../common/routed/workerClient.js'
 import { steadyNowMs } from '../steadyClock.js'
 import { AnswerRelay } from './answerRelay.js'
-import { connectionShareOf } from './paths/connectionShare.js'
+import { createWorkerCall } from './createWorkerCall.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
 import { StreamContinuation } from './streamContinuation.js'
 import type { GrantedTurn, GrantOutcome } from './turnService.js'
@@ -190,20 +190,17 @@
       worker,
       prompt: request.prompt,
       onReleased: release,
-      call: {
-        workerId: worker.workerId,
-        address: worker.address,
-        requestId: request.requestId,
-        method: request.method,
-        path: request.path,
-        headers: request.headers,
-        body: [...(this._grant?.chain ?? []), request.body],
-        deadlineMs: Math.max(1, Math.floor(this._timeLeftMs)),
-        urgency: this._service?.engine === undefined ? undefined : this._urgency,
+      call: createWorkerCall({
+        request,
+        route: this._route,
+        worker,
+        service: this._service,
+        chain: this._grant?.chain ?? [],
+        timeLeftMs: this._timeLeftMs,
+        urgency: this._urgency,
         lastEventId: this._relay.lastEventId,
-        maxConnections: connectionShareOf(this._service, nodeCount()),
-        isRepeatable: this._route.kind !== RouteKind.Unsafe
-      },
+        nodeCount: nodeCount()
+      }),
       listener: {
         onHead: head => this._onHead(head),
         onData: bytes => {
