--- a/packages/node/src/node/routed/paths/workerGateway.ts
+++ b/packages/node/src/node/routed/paths/workerGateway.ts
@@ -44,7 +44,7 @@
     return isUncertain ? await this._relays.probe(worker.workerId) ?? own : own
   }
 
-  hasIdleConnection (address: WorkerRegistration['address']): boolean {
+  hasIdleConnection (address: string): boolean {
     return this._links.isCutOff || this._links.hasIdleConnection(address)
   }
 }
