--- a/packages/node/src/common/routed/workerClient.ts
+++ b/packages/node/src/common/routed/workerClient.ts
@@ -32,9 +32,9 @@
   notice: AnswerNotice
 }
 
-/** Reasons of this node's for the end of a call; they are no failures of the worker. */
+/** Why nodes end or don't begin a call by themselves; these are no failures of the worker. */
 export const CallEndCause = {
-  /** This node is cut off from the workers. */
+  /** This node is cut off from the workers, and no peer could make the call. */
   CutOff: 'cutOff',
   /** The worker takes no new requests, or is gone. */
   WorkerLost: 'workerLost'
--- a/packages/node/src/node/routed/paths/relayClient.ts
+++ b/packages/node/src/node/routed/paths/relayClient.ts
@@ -174,8 +174,7 @@
       return
     }
     if (this._triedPeers.size >= MAX_PEERS || this._options.selectPeer(this._triedPeers) === undefined) {
-      // The peer's links are no link of this node's.
-      this._fail({ type: 'notSent', detail: failure.detail })
+      this._fail(failure)
       return
     }
     this._releasePeer()
--- a/packages/node/src/node/routed/paths/relayServer.ts
+++ b/packages/node/src/node/routed/paths/relayServer.ts
@@ -14,7 +14,7 @@
 /** A call is ended this long after its deadline, in case the peer was lost without a sign. */
 const EXPIRY_GRACE_MS = 500
 
-const WORKER_UNKNOWN: CallFailure = { type: 'notSent', detail: 'the worker is not known here' }
+const WORKER_UNKNOWN: CallFailure = { type: 'notSent', detail: 'the worker is not known here', cause: CallEndCause.CutOff }
 
 export interface RelayServerOptions {
   links: WorkerLinks
@@ -65,7 +65,7 @@
   private _refusalOf (worker: WorkerRegistration | undefined): CallFailure | undefined {
     if (worker === undefined) return WORKER_UNKNOWN
     if (worker.isDraining) return { type: 'notSent', detail: 'the worker takes no new requests', cause: CallEndCause.WorkerLost }
-    if (this._calls.size >= MAX_CALLS) return { type: 'notSent', detail: 'too many calls for peers' }
+    if (this._calls.size >= MAX_CALLS) return { type: 'notSent', detail: 'too many calls for peers', cause: CallEndCause.CutOff }
     if (!this._options.links.mayCall(worker)) return { type: 'notSent', detail: 'the worker is not reached from here either' }
   }
 
--- a/packages/node/test/node/routed/paths/relay.test.ts
+++ b/packages/node/test/node/routed/paths/relay.test.ts
@@ -217,6 +217,14 @@
   assert.equal(recorder.failures.map(failure => [failure.type, failure.type === 'notSent' ? failure.cause : '']), [['notSent', undefined]])
 })
 
+test('a peer that does not know the worker is no failure of the worker', async ({ peers, client }) => {
+  const recorder = new Recorder()
+  client.call({ ...createCall(), workerId: 'unknown' }, recorder)
+  await waitFor(() => recorder.failures.length > 0)
+  assert.equal(recorder.failures.map(failure => [failure.type, failure.type === 'notSent' ? failure.cause : '']), [['notSent', CallEndCause.CutOff]])
+  assert.is(callsOf(peers).length, 0)
+})
+
 test('a peer that knows that the worker takes no new requests makes no call, and no other peer does', async ({ peers, client }) => {
   for (const peer of peers) peer.isWorkerDraining = true
   const recorder = new Recorder()
