--- a/packages/node/src/common/routed/workerClient.ts
+++ b/packages/node/src/common/routed/workerClient.ts
@@ -41,14 +41,23 @@
 } as const
 export type CallEndCause = typeof CallEndCause[keyof typeof CallEndCause]
 
+/** Why an answer that arrived doesn't count as the answer to the call. */
+export const AnswerRejection = {
+  /** It doesn't say which request it answers. */
+  NoRequestId: 'noRequestId',
+  OtherRequestId: 'otherRequestId',
+  NoSignature: 'noSignature'
+} as const
+export type AnswerRejection = typeof AnswerRejection[keyof typeof AnswerRejection]
+
 /** Why a call brought no complete answer. `cause` is absent if the worker or the connection to it failed. */
 export type CallFailure =
   /** No byte of the request was sent. */
   | { type: 'notSent', detail: string, cause?: CallEndCause }
   /** The worker reported that it did not run the request; `isMisdirected` if it isn't the worker that the call names. */
   | { type: 'refused', isMisdirected: boolean, detail: string, notice: AnswerNotice }
-  /** The call ended early after the request was sent; it may have run. */
-  | { type: 'broken', detail: string, cause?: CallEndCause }
+  /** The call ended early after the request was sent; it may have run. `rejection` is present if an answer arrived that doesn't count. */
+  | { type: 'broken', detail: string, cause?: CallEndCause, rejection?: AnswerRejection }
 
 /** Receives the answer or the failure of one call. */
 export interface IWorkerCallListener {
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -109,6 +109,7 @@
     this._openCall = undefined
     const { dependencies, worker, listener } = this._options
     const outcome = outcomeOf(failure)
+    if (failure.type === 'broken' && failure.rejection !== undefined) dependencies.metrics.count('worker_answers_rejected_total', { reason: failure.rejection })
     if (failure.type === 'refused' && !failure.isMisdirected) dependencies.noticeReporter.observeRefusal(worker, failure.notice)
     if (failure.type === 'refused' && failure.isMisdirected) {
       dependencies.registry.markMisdirected(worker.workerId, steadyNowMs())
