Own API: a back end's 'not run' counts only if it is known which request it answers

Callers of the own API could be told that a call was not run, or it was sent elsewhere, on the word of a refusal that an engine wrote once more on a kept connection: BackendClient read x-not-run in any answer.

Change: each call to a back end carries x-request-id. An answer with another id fails the call; one without counts as 'not run' only if it is the first on its connection, as before for services, whose calls use a connection of their own. The stand-ins return the id.

--- a/packages/node/src/node/backendAnswer.ts
+++ b/packages/node/src/node/backendAnswer.ts
@@ -1,7 +1,8 @@
 /** Fetches answers of backend servers as text, within limits of size; `signal` limits the time. */
+import { REQUEST_ID_HEADER } from '@trefoilshunt/protocol'
 import type { Dispatcher } from 'undici'
 import { AnswerDrain } from './answerDrain.js'
-import { dispatchBounded, LimitExceededError } from './boundedClient.js'
+import { type CallContext, dispatchBounded, LimitExceededError } from './boundedClient.js'
 
 /** Largest text of an answer that is not passed on as it arrives. */
 const MAX_TEXT_BYTES = 8 * 1024 * 1024
@@ -13,6 +14,8 @@
   headers: Record<string, string | string[]>
   /** The body; empty if it was passed to `onText`, or for an error status of which it was too large. */
   text: string
+  /** False if the answer may repeat one to an earlier request: it names no request and isn't the first on its connection. */
+  isAttributed: boolean
 }
 
 export interface FetchOptions {
@@ -28,6 +31,9 @@
   isComplete?: () => boolean
 }
 
+/** Requests are told apart on one connection, so that ids need to be unique within the process only. */
+let lastRequestId = 0
+
 /**
  * Rejects if the connection fails, a limit is exceeded before the answer is complete, or `signal` is aborted.
  *
@@ -37,23 +43,26 @@
 export async function fetchAnswer (dispatcher: Dispatcher, options: FetchOptions): Promise<BackendAnswer> {
   const { origin, method, path, headers, body, signal } = options
   signal.throwIfAborted()
+  const requestId = String(++lastRequestId)
   return await new Promise((resolve, reject) => {
-    const handler = new AnswerHandler(options, resolve, reject)
+    const handler = new AnswerHandler(options, requestId, resolve, reject)
     signal.addEventListener('abort', () => handler.abort(new Error('aborted')), { once: true })
-    dispatchBounded(dispatcher, { origin, method, path, headers: { ...JSON_HEADERS, ...headers }, body }, handler)
+    dispatchBounded(dispatcher, { origin, method, path, headers: { ...JSON_HEADERS, ...headers, [REQUEST_ID_HEADER]: requestId }, body }, handler)
   })
 }
 
 class AnswerHandler implements Dispatcher.DispatchHandler {
   private readonly _decoder = new TextDecoder()
-  private readonly _answer: BackendAnswer = { status: 0, headers: {}, text: '' }
+  private readonly _answer: BackendAnswer = { status: 0, headers: {}, text: '', isAttributed: false }
   private _controller: Dispatcher.DispatchController | undefined
   private _textBytes = 0
   private _abortReason: Error | undefined
   private _drain: AnswerDrain | undefined
+  private _isFirstOnConnection = false
 
   constructor (
     private readonly _options: FetchOptions,
+    private readonly _requestId: string,
     private readonly _resolve: (answer: BackendAnswer) => void,
     private readonly _reject: (error: Error) => void
   ) {}
@@ -63,12 +72,19 @@
     this._controller?.abort(reason)
   }
 
-  onRequestStart (controller: Dispatcher.DispatchController): void {
+  onRequestStart (controller: Dispatcher.DispatchController, { isFirstOnConnection }: CallContext): void {
     this._controller = controller
+    this._isFirstOnConnection = isFirstOnConnection
     if (this._abortReason !== undefined) controller.abort(this._abortReason)
   }
 
-  onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[]>): void {
+  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[]>): void {
+    const answeredId = headers[REQUEST_ID_HEADER]
+    if (answeredId !== undefined && answeredId !== this._requestId) {
+      controller.abort(new Error('an answer to another request'))
+      return
+    }
+    this._answer.isAttributed = answeredId !== undefined || this._isFirstOnConnection
     this._answer.status = status
     this._answer.headers = headers
   }
--- a/packages/node/src/node/backendClient.ts
+++ b/packages/node/src/node/backendClient.ts
@@ -184,8 +184,8 @@
 }
 
 /** The failure for an error status; the headers show whether the request was run and whether the back end is leaving. */
-function toRefusal ({ status, headers }: BackendAnswer): Failure {
-  const isNotRun = headers[NOT_RUN_HEADER] === 'true'
+function toRefusal ({ status, headers, isAttributed }: BackendAnswer): Failure {
+  const isNotRun = isAttributed && headers[NOT_RUN_HEADER] === 'true'
   return toFailure({ isUntouched: isNotRun, isLeaving: headers[LEAVING_HEADER] === 'true', detail: `status ${status}` })
 }
 
--- a/packages/node/src/node/boundedClient.ts
+++ b/packages/node/src/node/boundedClient.ts
@@ -82,12 +82,19 @@
   dispatcher.dispatch(boundedOptions, guardedHandler)
 }
 
+/** What the handlers of `dispatchBounded` get as the context of `onRequestStart`. */
+export interface CallContext {
+  /** True until an answer has arrived on the connection. */
+  isFirstOnConnection: boolean
+}
+
 /** Counts the bytes that the current connection of a client has received since the last progress of an answer. */
 class ConnectionGuard {
   private _socket: Socket | undefined
   private _progressAtBytes = 0
   private _answerAtBytes = 0
   private _isInCall = false
+  private _hasAnswered = false
 
   constructor (private readonly _maxAnswerBytes: number, private readonly _onStrayBytes?: (detail: string) => void) {}
 
@@ -96,9 +103,15 @@
     this._socket = socket
     this._progressAtBytes = 0
     this._answerAtBytes = 0
+    this._hasAnswered = false
     socket.on('readable', () => this._check(socket))
   }
 
+  /** True once an answer has ended on the current connection. */
+  get hasAnswered (): boolean {
+    return this._hasAnswered
+  }
+
   beginAnswer (): void {
     this._isInCall = true
     this._answerAtBytes = this._receivedBytes
@@ -107,6 +120,7 @@
 
   endAnswer (): void {
     this._isInCall = false
+    this._hasAnswered = true
     this.markProgress()
   }
 
@@ -140,7 +154,8 @@
     this._guard = guard
   }
 
-  onRequestStart (controller: Dispatcher.DispatchController, context: unknown): void {
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    const context: CallContext = { isFirstOnConnection: this._guard?.hasAnswered !== true }
     this._guard?.beginAnswer()
     this._handler.onRequestStart?.(controller, context)
   }
--- a/packages/node/test/node/backendClient.test.ts
+++ b/packages/node/test/node/backendClient.test.ts
@@ -1,4 +1,5 @@
 /** Calls of the client for engines and services to servers that send bytes without end: memory stays bounded, and the connection is closed. */
+import { type AddressInfo, createServer, type Server } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { BackendEvent, BackendRequest } from '@trefoilshunt/core'
@@ -79,4 +80,40 @@
   })
 }
 
+/** Refuses the first request on each connection and answers each later one with `repeated`. */
+async function listenWithRefusals (repeated: string): Promise<{ server: Server, address: string }> {
+  const server = createServer(socket => {
+    let count = 0
+    socket.on('error', () => {})
+    socket.on('data', chunk => {
+      const requestId = /^x-request-id: (.*)\r$/im.exec(chunk.toString('latin1'))?.[1] ?? ''
+      const headers = count++ === 0 ? `X-Request-Id: ${requestId}\r\n` : repeated
+      socket.write(`HTTP/1.1 503 Full\r\nX-Not-Run: true\r\n${headers}Content-Length: 2\r\n\r\n{}`)
+    })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
+}
+
+for (const [name, repeated] of [['without an id', ''], ['with the id of another request', 'X-Request-Id: other\r\n']]) {
+  test(`a refusal ${name}, in place of a later answer on a connection, does not prove that the request was not run`, async () => {
+    const { server, address } = await listenWithRefusals(repeated)
+    const client = new BackendClient()
+    try {
+      const outcomes: boolean[] = []
+      for (let index = 0; index < 2; index++) {
+        const event = await new Promise<BackendEvent>(resolve => { client.call(address, MODEL, TIMEOUT_MS, resolve) })
+        assert.ok(event.type === 'failed')
+        outcomes.push(event.isUntouched)
+        // The connection is free for the next call one turn of the event loop after its answer.
+        await new Promise<void>(resolve => { setTimeout(resolve, 20) })
+      }
+      assert.equal(outcomes, [true, false])
+    } finally {
+      await client.close()
+      server.close()
+    }
+  })
+}
+
 test.run()
--- a/packages/protocol/src/common/engineApi.ts
+++ b/packages/protocol/src/common/engineApi.ts
@@ -54,6 +54,11 @@
 
 /** Header of an answer, `true` if the back end has not run the request. */
 export const NOT_RUN_HEADER = 'x-not-run'
+/**
+ * Header of a request with its id, which back ends return in their answer. Without it, `NOT_RUN_HEADER` counts only in the first
+ * answer on a connection: a later one may repeat an earlier refusal.
+ */
+export const REQUEST_ID_HEADER = 'x-request-id'
 /** Header of an answer, `true` if the back end is being removed and accepts no new work. */
 export const LEAVING_HEADER = 'x-leaving'
 /** Path of a service, followed by an idempotency key, that returns the result of the call with this key. */
--- a/packages/standins/src/node/standinServer.ts
+++ b/packages/standins/src/node/standinServer.ts
@@ -1,6 +1,7 @@
 /** The HTTP server that all stand-ins use. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { App } from '@tinyhttp/app'
+import { REQUEST_ID_HEADER } from '@trefoilshunt/protocol'
 
 /** A larger body is treated as an empty one. */
 const MAX_BODY_BYTES = 64_000_000
@@ -68,6 +69,8 @@
 
 function toRequestHandler (route: StandinRoute) {
   return async (request: IncomingMessage & { params: Record<string, string> }, response: ServerResponse): Promise<void> => {
+    const requestId = request.headers[REQUEST_ID_HEADER]
+    if (requestId !== undefined) response.setHeader(REQUEST_ID_HEADER, requestId)
     const text = await readText(request)
     const query = new URL(request.url ?? '/', 'http://localhost').searchParams
     route({ params: request.params, query, headers: request.headers, body: text === '' ? undefined : parseJson(text), response })
