--- a/packages/node/src/node/boundedClient.ts
+++ b/packages/node/src/node/boundedClient.ts
@@ -15,6 +15,11 @@
   readonly code = 'LIMIT_EXCEEDED'
 }
 
+/** The connection ended before the answer did. */
+export class ConnectionLostError extends Error {
+  readonly code = 'CONNECTION_LOST'
+}
+
 export interface BoundedPoolOptions {
   /** Most connections of the pool. */
   connections: number
@@ -124,6 +129,13 @@
     this.markProgress()
   }
 
+  /** Why the current connection failed; undefined while it works and after an orderly end. */
+  get failure (): Error | undefined {
+    const socket = this._socket
+    if (socket?.errored != null) return socket.errored
+    return socket?.destroyed === true && !socket.readableEnded ? new ConnectionLostError('the connection was closed') : undefined
+  }
+
   markProgress (): void {
     this._progressAtBytes = this._receivedBytes
   }
@@ -175,6 +187,12 @@
   }
 
   onResponseEnd (controller: Dispatcher.DispatchController, trailers: Record<string, string | string[]>): void {
+    // undici takes a reset for the end of an answer that ends with its connection.
+    const failure = this._guard?.failure
+    if (failure !== undefined) {
+      this.onResponseError(controller, failure)
+      return
+    }
     this._guard?.endAnswer()
     this._handler.onResponseEnd?.(controller, trailers)
   }
