--- a/packages/core/src/common/forwarding/attemptOutcome.ts
+++ b/packages/core/src/common/forwarding/attemptOutcome.ts
@@ -29,6 +29,8 @@
   mayHaveRun: boolean
   /** True when the caller has received a part of an answer. */
   hasAnswerBegun: boolean
+  /** True when another attempt can go on where that part ends: it is a stream, and its last event has an id. */
+  isAnswerContinuable: boolean
   /** Time until the request's deadline. */
   timeLeftMs: number
 }
@@ -57,9 +59,9 @@
  * resolveNextAction(AttemptOutcome.Unknown, history) // { type: 'unknown' } for a request that must not be repeated
  */
 export function resolveNextAction (outcome: AttemptOutcome, history: AttemptHistory): NextAction {
-  const { route, sentCount, unsentCount, mayHaveRun, hasAnswerBegun, timeLeftMs } = history
+  const { route, sentCount, unsentCount, mayHaveRun, hasAnswerBegun, isAnswerContinuable, timeLeftMs } = history
   const isTimeLeft = timeLeftMs > MIN_ATTEMPT_MS
-  const maySendAgain = isTimeLeft && sentCount < route.maxAttempts
+  const maySendAgain = isTimeLeft && sentCount < route.maxAttempts && (!hasAnswerBegun || isAnswerContinuable)
   const retryAction: NextAction = hasAnswerBegun ? { type: 'resume' } : { type: 'again' }
   const finalAction: NextAction = mayHaveRun ? { type: 'unknown' } : { type: 'notRun' }
   if (outcome === AttemptOutcome.NotSent) return maySendAgain && unsentCount < MAX_UNSENT_ATTEMPTS ? retryAction : finalAction
--- a/packages/core/test/common/forwarding/attemptOutcome.test.ts
+++ b/packages/core/test/common/forwarding/attemptOutcome.test.ts
@@ -21,7 +21,7 @@
     maxEventGapMs: 200,
     ...route
   }
-  return { route: full, sentCount: 1, unsentCount: 0, mayHaveRun: false, hasAnswerBegun: false, timeLeftMs: 500, ...fields }
+  return { route: full, sentCount: 1, unsentCount: 0, mayHaveRun: false, hasAnswerBegun: false, isAnswerContinuable: false, timeLeftMs: 500, ...fields }
 }
 
 test('an unsafe request of unknown outcome is never sent again and never reported as not run', () => {
@@ -44,10 +44,19 @@
 })
 
 test('a broken stream resumes after its last event only when the route allows it', () => {
-  const broken = { sentCount: 1, mayHaveRun: true, hasAnswerBegun: true }
+  const broken = { sentCount: 1, mayHaveRun: true, hasAnswerBegun: true, isAnswerContinuable: true }
   assert.equal(resolveNextAction(AttemptOutcome.Unknown, createHistory({ kind: RouteKind.Stream, canResume: true }, broken)), { type: 'resume' })
   assert.equal(resolveNextAction(AttemptOutcome.Unknown, createHistory({ kind: RouteKind.Stream, canResume: false }, broken)), { type: 'unknown' })
   assert.equal(resolveNextAction(AttemptOutcome.Unknown, createHistory({ kind: RouteKind.Stream, canResume: true, maxAttempts: 1 }, broken)), { type: 'unknown' })
 })
 
+test('an answer that has begun and cannot be continued is not followed by another one', () => {
+  const begun = { mayHaveRun: true, hasAnswerBegun: true, isAnswerContinuable: false }
+  for (const route of [{ kind: RouteKind.Safe }, { kind: RouteKind.Stream, canResume: true }]) {
+    for (const outcome of Object.values(AttemptOutcome)) {
+      assert.equal(resolveNextAction(outcome, createHistory({ ...route, maxAttempts: 3 }, begun)), { type: 'unknown' }, outcome)
+    }
+  }
+})
+
 test.run()
--- a/packages/node/src/node/routed/answerRelay.ts
+++ b/packages/node/src/node/routed/answerRelay.ts
@@ -1,4 +1,5 @@
 /** Forwards a worker's answer to the caller: streams event by event, other answers as whole bodies up to a size. */
+import { EventSequence } from '@trefoilshunt/core'
 import { type EventFrame, EventFrameSplitter } from '../../common/routed/eventFrames.js'
 import type { IAnswerSink } from '../../common/routed/routedRequest.js'
 import type { WorkerAnswerHead } from '../../common/routed/workerClient.js'
@@ -13,6 +14,8 @@
 /** Largest output of a turn that can be retained. */
 const MAX_OUTPUT_BYTES = 8 * 1024 * 1024
 const FIRST_REDIRECT_STATUS = 300
+const LINE_FEED = 10
+const CARRIAGE_RETURN = 13
 
 export interface AnswerRelayOptions {
   /** Id of the event after which the caller resumes a stream. */
@@ -55,9 +58,14 @@
   private _bufferedBytes = 0
   private _firstByteAtMs: number | undefined
   private _eventCount = 0
+  private readonly _sequence: EventSequence
+  /** True if the forwarded head is that of a stream. */
+  private _isBegunStream = false
+  private _isLastEventIdentified = true
 
   constructor (private readonly _sink: IAnswerSink, private readonly _options: AnswerRelayOptions = {}) {
     this._lastEventId = _options.lastEventId
+    this._sequence = new EventSequence(_options.lastEventId)
     _sink.onDrained = () => {
       this._isSinkFull = false
       this._updateBackpressure()
@@ -84,6 +92,11 @@
     return this._head?.status ?? 0
   }
 
+  /** True if another attempt can go on where the forwarded part of the answer ends. */
+  get isContinuable (): boolean {
+    return this._isBegunStream && this._isLastEventIdentified
+  }
+
   /** Events with data that were forwarded to the caller. */
   get eventCount (): number {
     return this._eventCount
@@ -131,6 +144,7 @@
   /** Prepares for the answer of another attempt; what was buffered of an earlier one is discarded. All attempts together may bring `maxEvents`. */
   beginAttempt (maxEvents = Number.POSITIVE_INFINITY): void {
     this._maxEvents = maxEvents
+    this._sequence.beginAttempt(this._hasBegun)
     this._head = undefined
     this._isStream = false
     this._splitter = new EventFrameSplitter()
@@ -153,6 +167,12 @@
     return problem
   }
 
+  /** Returns why the attempt's answer, which has ended, isn't complete; undefined if it is. */
+  findEndProblem (): string | undefined {
+    if (!this._isStream) return undefined
+    return isBlank(this._splitter.rest) ? this._sequence.endAttempt() : 'the stream ended inside an event'
+  }
+
   /** The attempt's answer is complete: forwards the rest of it, then calls `onForwarded`, unless the relay was stopped. */
   endAttempt (onForwarded: () => void): void {
     this.whenForwarding(() => {
@@ -172,12 +192,14 @@
   private _begin (head: WorkerAnswerHead): void {
     if (this._hasBegun || this._isStopped) return
     this._hasBegun = true
+    this._isBegunStream = this._isStream
     this._sink.begin(head)
   }
 
   private _handleStreamData (bytes: Uint8Array): string | undefined {
     for (const frame of this._splitter.push(bytes)) {
-      if (frame.data !== undefined && ++this._receivedEvents > this._maxEvents) return 'more events than the request may generate'
+      const problem = frame.data === undefined ? undefined : this._checkEvent(frame)
+      if (problem !== undefined) return problem
       if (this._options.retainsOutput === true) this._outputBytes += frame.data?.length ?? 0
       this.whenForwarding(() => this._forwardEvent(frame))
     }
@@ -185,6 +207,10 @@
     return this._splitter.rest.length > MAX_EVENT_BYTES ? 'an event without end' : undefined
   }
 
+  private _checkEvent ({ id }: EventFrame): string | undefined {
+    return ++this._receivedEvents > this._maxEvents ? 'more events than the request may generate' : this._sequence.accept(id)
+  }
+
   private _handleBodyData (bytes: Uint8Array): undefined {
     this._buffered.push(bytes)
     this._bufferedBytes += bytes.length
@@ -198,6 +224,7 @@
     if (frame.data === undefined) return
     this._eventCount++
     if (this._options.retainsOutput === true) this._forwardedData.push(frame.data)
+    this._isLastEventIdentified = frame.id !== undefined
     if (frame.id !== undefined) this._lastEventId = frame.id
   }
 
@@ -218,3 +245,7 @@
     this._options.onBackpressure?.(isBackpressured)
   }
 }
+
+function isBlank (bytes: Uint8Array): boolean {
+  return bytes.every(byte => byte === LINE_FEED || byte === CARRIAGE_RETURN)
+}
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -235,6 +235,11 @@
   }
 
   private _onAttemptEnd (): void {
+    const problem = this._relay.findEndProblem()
+    if (problem !== undefined) {
+      this._latestAttempt?.rejectAnswer(problem)
+      return
+    }
     this._sentCount++
     this._latestAttempt?.recordAnswer(this._relay.status, Math.max(1, this._relay.eventCount))
     this._dependencies.poisonRequestDetector.recordServed(this._request)
@@ -287,7 +292,7 @@
     // Events held back until the reservation is recorded are forwarded first: the next attempt resumes after the last forwarded event.
     this._relay.whenForwarding(() => {
       if (this._isDone) return
-      const next = resolveNextAction(attemptOutcome, { route: this._route, sentCount: this._sentCount, unsentCount: this._unsentCount, mayHaveRun: this._mayHaveRun, hasAnswerBegun: this._relay.hasBegun, timeLeftMs: this._timeLeftMs })
+      const next = resolveNextAction(attemptOutcome, { route: this._route, sentCount: this._sentCount, unsentCount: this._unsentCount, mayHaveRun: this._mayHaveRun, hasAnswerBegun: this._relay.hasBegun, isAnswerContinuable: this._relay.isContinuable, timeLeftMs: this._timeLeftMs })
       this._log('attemptFailed', { worker: worker?.workerId, fate: attemptOutcome, detail, next: next.type, sent: this._sentCount })
       this._applyNextAction(next, detail, reason)
     })
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -24,7 +24,7 @@
 
 /**
  * Begins with its construction and ends when the worker has answered or failed, or with `cancel`. After `onEnd` the caller must
- * call `recordAnswer`.
+ * call `recordAnswer` or `rejectAnswer`.
  *
  * @example
  * const attempt = new WorkerAttempt({ dependencies, route, worker, prompt, call, listener })
@@ -105,6 +105,11 @@
     }
   }
 
+  /** Records an answer that has ended and isn't complete as a failure of the worker. */
+  rejectAnswer (detail: string): void {
+    this._fail({ type: 'broken', detail })
+  }
+
   private _fail (failure: CallFailure): void {
     this._openCall = undefined
     const { dependencies, worker, listener } = this._options
