Nodes ask for lists of nodes where they need them, and statuses are 45 bytes in place of 288

Statuses took 62 x 288 bytes/s a node besides, 18 KB/s where 3 KB/s are the target for control.

Change: a node that can't read the list of nodes from the log asks for it: the first peer that it connects to, then one of its zone each second (PeerDiscovery). Nothing is sent while the log can be read. A node that no list names is found by its own connections, as before. Only the first status on a connection names the sender; later ones are values without names of fields.

--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -49,8 +49,6 @@
   rateLimitedShards?: string[]
   /** What the workers say that the sender coordinates, rate limits and that they leave; absent if there is nothing. */
   rateLimits?: WorkerNotice[]
-  /** Live peers of the sender; absent if the list was sent on this connection before, or another version of it a short time ago. */
-  peers?: NodeAddress[]
 }
 
 /** The workers that began a stream; it goes on only at workers of the same service and software version. */
@@ -156,9 +154,13 @@
   | { type: 'findChain', turnId: string }
   /** Requests the newest records of a topic that the sender can't read, or of which the peer has newer ones. */
   | { type: 'topic', topic: string }
+  /** Requests the addresses of all nodes that the peer knows. */
+  | { type: 'nodes' }
 
 export type PeerReply =
   | RelayReply
+  /** The live nodes that the peer knows, itself included. */
+  | { type: 'nodeList', nodes: NodeAddress[] }
   | { type: 'workerProbed', result: ProbeResult }
   | GrantReply
   | EndReply
--- a/packages/node/src/node/routed/clusterView.ts
+++ b/packages/node/src/node/routed/clusterView.ts
@@ -88,6 +88,11 @@
     return this._workerFollower.sinceLastReadMs
   }
 
+  /** True while the log tells which nodes there are. */
+  get isNodeListRead (): boolean {
+    return this._nodeFollower.content !== undefined && !this._nodeFollower.isFailing
+  }
+
   start (): void {
     for (const follower of this._followers) follower.start()
     this._snapshots.start()
--- a/packages/node/src/node/routed/nodeDirectory.ts
+++ b/packages/node/src/node/routed/nodeDirectory.ts
@@ -43,10 +43,9 @@
     this._options.onAdded(address)
   }
 
-  /** Adds the sender and the peers that it names; then stores the status, unless a newer incarnation of the sender is known. */
+  /** Adds the sender; then stores the status, unless a newer incarnation of the sender is known. */
   applyStatus (status: NodeStatus): void {
     this.add(status.from)
-    for (const peer of status.peers ?? []) this.add(peer)
     const known = this._nodes.get(status.from.node)
     if (known === undefined || known.address.incarnation !== status.from.incarnation) return
     known.status = status
--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -4,21 +4,21 @@
 import { Packr } from 'msgpackr'
 import type { NodeAddress, NodeStatus, PeerReply, PeerRequest } from '../../common/routed/routedPeerMessages.js'
 import { steadyNowMs } from '../steadyClock.js'
+import { type CompactStatus, compactStatus, expandStatus } from './statusCodec.js'
 import { heartbeatTimeoutMs } from './statusPeriod.js'
 
 /** Each frame is its length, as a 32-bit big-endian number, and a MessagePack body. */
 const LENGTH_BYTES = 4
 /** Larger than any chain of turns that a node sends; a larger frame closes the connection. */
 const MAX_FRAME_BYTES = 64 * 1024 * 1024
-/** Shortest time between two lists of peers on one connection: while a system starts, the list changes continuously. */
-const PEERS_PERIOD_MS = 5_000
 /** Shortest time between two attempts to connect to a peer. */
 const REDIAL_INTERVAL_MS = 400
 const CONNECT_TIMEOUT_MS = 800
 
-/** `s` is a status, `p` its acknowledgement, `q` a request and `r` a reply to request `i`; `l` marks the last one. */
+/** `s` is the first status of a connection, `u` a later one, `p` the acknowledgement of either, `q` a request and `r` a reply to request `i`; `l` marks the last one. */
 type Frame =
   | { t: 's', s: NodeStatus }
+  | { t: 'u', u: CompactStatus }
   | { t: 'p' }
   | { t: 'q', i: number, q: PeerRequest }
   | { t: 'r', i: number, r: PeerReply, l: boolean }
@@ -45,8 +45,6 @@
   onConnected: (peer: string) => void
   /** Called when an established connection is closed, for whichever reason. */
   onDisconnected: (peer: string, detail: string) => void
-  /** Shortest time between two lists of peers on one connection. */
-  peersPeriodMs?: number
 }
 
 interface PendingRequest {
@@ -54,21 +52,12 @@
   onReply: (reply: PeerReply | undefined) => void
 }
 
-export interface StatusOptions {
-  /** The status without its field `peers`. */
-  status: NodeStatus
-  /** Peers to report: on a new connection at once, on others after a change of `peersVersion`, at most once per period. */
-  peers: readonly NodeAddress[]
-  /** Differs whenever `peers` differs. */
-  peersVersion: string
-}
-
 interface PeerConnection {
   address: NodeAddress
-  /** The list of peers that was last sent on this connection. */
-  sentPeers?: { version: string, atMs: number }
   socket?: Socket
   isConnected: boolean
+  /** True once the first status was sent, which holds this node's address. */
+  hasSentAddress: boolean
   lastReceivedAtMs: number
   nextDialAtMs: number
   pending: Map<number, PendingRequest>
@@ -90,11 +79,7 @@
   private _lastId = 0
   private _isClosed = false
 
-  private readonly _peersPeriodMs: number
-
-  constructor (private readonly _options: PeerMeshOptions) {
-    this._peersPeriodMs = _options.peersPeriodMs ?? PEERS_PERIOD_MS
-  }
+  constructor (private readonly _options: PeerMeshOptions) {}
 
   /** Names of the peers to which connections are kept, connected or not. */
   get peers (): string[] {
@@ -127,7 +112,7 @@
       if (!hasMoved) return
       this._disconnect(known, 'moved')
     }
-    const connection: PeerConnection = known ?? { address, isConnected: false, lastReceivedAtMs: 0, nextDialAtMs: 0, pending: new Map() }
+    const connection: PeerConnection = known ?? { address, isConnected: false, hasSentAddress: false, lastReceivedAtMs: 0, nextDialAtMs: 0, pending: new Map() }
     this._connections.set(node, connection)
     this._dial(connection)
   }
@@ -146,21 +131,20 @@
   }
 
   /** Sends the status to every connected peer, and closes connections on which nothing was received within the heartbeat timeout. */
-  sendStatus ({ status, peers, peersVersion }: StatusOptions): void {
+  sendStatus (status: NodeStatus): void {
     const nowMs = steadyNowMs()
-    const frame = this._encode({ t: 's', s: status })
-    let frameWithPeers: Buffer | undefined
+    const frame = this._encode({ t: 'u', u: compactStatus(status) })
+    let firstFrame: Buffer | undefined
     for (const connection of this._connections.values()) {
       if (connection.isConnected && nowMs - connection.lastReceivedAtMs > heartbeatTimeoutMs(status.periodMs)) this._disconnect(connection, 'heartbeat timeout')
       if (!connection.isConnected) continue
-      const { sentPeers } = connection
-      if (sentPeers !== undefined && (sentPeers.version === peersVersion || nowMs - sentPeers.atMs < this._peersPeriodMs)) {
+      if (connection.hasSentAddress) {
         connection.socket?.write(frame)
-        continue
+      } else {
+        firstFrame ??= this._encode({ t: 's', s: status })
+        connection.socket?.write(firstFrame)
+        connection.hasSentAddress = true
       }
-      frameWithPeers ??= this._encode({ t: 's', s: { ...status, peers: [...peers] } })
-      connection.socket?.write(frameWithPeers)
-      connection.sentPeers = { version: peersVersion, atMs: nowMs }
     }
   }
 
@@ -215,7 +199,7 @@
     connection.nextDialAtMs = steadyNowMs() + REDIAL_INTERVAL_MS
     const socket = createConnection({ host, port, noDelay: true })
     connection.socket = socket
-    connection.sentPeers = undefined
+    connection.hasSentAddress = false
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS)
     socket.on('connect', () => {
       clearTimeout(timer)
@@ -270,10 +254,16 @@
       closed.fire()
     })
     const acknowledgement = this._encode({ t: 'p' })
+    let from: NodeAddress | undefined
     this._readFrames(socket, frame => {
       if (frame.t === 's') {
+        from = frame.s.from
         socket.write(acknowledgement)
         this._options.onStatus(frame.s)
+      } else if (frame.t === 'u') {
+        if (from === undefined) return
+        socket.write(acknowledgement)
+        this._options.onStatus(expandStatus(frame.u, from))
       } else if (frame.t === 'q') {
         this._options.onRequest(frame.q, (reply, isLast) => {
           if (!socket.destroyed) socket.write(this._encode({ t: 'r', i: frame.i, r: reply, l: isLast }))
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -21,6 +21,7 @@
 import { WorkerGateway } from './paths/workerGateway.js'
 import { WorkerLinks } from './paths/workerLinks.js'
 import { PartitionHost } from './partitionHost.js'
+import { PeerDiscovery } from './peerDiscovery.js'
 import { PeerMesh, type PeerRequester, type PeerResponder } from './peerMesh.js'
 import { PlacementCoordinator } from './placementCoordinator.js'
 import { WorkerNoticeReporter } from './workerNoticeReporter.js'
@@ -88,6 +89,7 @@
   private readonly _relayServer: RelayServer
   private readonly _directory: NodeDirectory
   private readonly _mesh: PeerMesh
+  private readonly _discovery: PeerDiscovery
   private readonly _partitionHost: PartitionHost
   private readonly _turns: TurnService
   private readonly _coordinator: PlacementCoordinator
@@ -136,6 +138,7 @@
       onRequest: (request, respond, requester) => this._handlePeerRequest(request, respond, requester),
       onConnected: peer => {
         write('peerConnected', { peer })
+        this._discovery.handleConnected(peer)
         this._noticeExchange.tell(peer)
       },
       onDisconnected: (peer, detail) => {
@@ -145,6 +148,7 @@
         this._directory.markDisconnected(peer)
       }
     })
+    this._discovery = new PeerDiscovery({ self: this._self, directory: this._directory, mesh: this._mesh, isNodeListRead: () => this._clusterView.isNodeListRead, random: container.resolve<IRandom>(IRandom), write })
     this._statusBroadcast = new StatusBroadcast({ mesh: this._mesh, directory: this._directory, compose: () => this._composeStatus() })
     this._partitionHost = new PartitionHost({
       member: node,
@@ -266,6 +270,7 @@
     this._partitionHost.start()
     void this._clusterView.announce(this._self)
     this._statusBroadcast.start()
+    this._discovery.start()
     this._cleanupTimer = setInterval(() => this._removeInactive(), CLEANUP_PERIOD_MS)
   }
 
@@ -311,6 +316,7 @@
     if (this._isStopped) return
     this._isStopped = true
     this._statusBroadcast.stop()
+    this._discovery.stop()
     clearInterval(this._cleanupTimer)
     this._gauges.stop()
     this._clusterView.stop()
@@ -371,7 +377,7 @@
   }
 
   private _handlePeerRequest (request: PeerRequest, respond: PeerResponder, requester: PeerRequester): void {
-    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond) || this._relayServer.handle(request, respond, requester)) return
+    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond) || this._relayServer.handle(request, respond, requester) || this._discovery.handle(request, respond)) return
     switch (request.type) {
       case 'place': return this._coordinator.place(request.shard, request.from, request.request, respond)
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
--- a/packages/node/src/node/routed/statusBroadcast.ts
+++ b/packages/node/src/node/routed/statusBroadcast.ts
@@ -9,7 +9,7 @@
   mesh: PeerMesh
   directory: NodeDirectory
   /** Creates the current status. */
-  compose: () => Omit<NodeStatus, 'periodMs' | 'peers'>
+  compose: () => Omit<NodeStatus, 'periodMs'>
 }
 
 /**
@@ -40,10 +40,9 @@
   /** Sends the status at once; does nothing after `stop`. */
   send (): void {
     if (this._isStopped) return
-    const { mesh, directory, compose } = this._options
+    const { mesh, compose } = this._options
     const status = { ...compose(), periodMs: this._periodMs }
-    const peers = directory.alive.map(({ from }) => from)
-    mesh.sendStatus({ status, peers, peersVersion: peers.map(({ incarnation }) => incarnation).join() })
+    mesh.sendStatus(status)
     this._lastSentAtMs = steadyNowMs()
     this._lastSentDigest = digestOf(status)
   }
