Routes are looked up by the slashes of the path, not by a search of all routes

Change: prefixes end with a slash, so that the ones that can begin a path are its beginnings up to each slash, longest first. routeTable.test.ts: the same route as a search of all finds, on generated prefixes and paths.

--- a/packages/core/src/common/routing/routeTable.ts
+++ b/packages/core/src/common/routing/routeTable.ts
@@ -30,7 +30,8 @@
 @injectable()
 export class RouteTable implements IRouteTable {
   private _document: RouteDocument | undefined
-  private readonly _routesByHost = new Map<string, Route[]>()
+  /** Routes by lower-case host and path prefix. */
+  private readonly _routesByHost = new Map<string, Map<string, Route>>()
   private readonly _services = new Map<string, RoutedService>()
 
   constructor (@inject(IRandom) private readonly _random: IRandom) {}
@@ -53,11 +54,10 @@
     this._routesByHost.clear()
     this._services.clear()
     for (const service of document.services) this._services.set(service.name, service)
-    const longestFirst = [...document.routes].sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
-    for (const route of longestFirst) {
+    for (const route of document.routes) {
       const host = route.host.toLowerCase()
-      const routes = this._routesByHost.get(host) ?? []
-      routes.push(route)
+      const routes = this._routesByHost.get(host) ?? new Map<string, Route>()
+      if (!routes.has(route.pathPrefix)) routes.set(route.pathPrefix, route)
       this._routesByHost.set(host, routes)
     }
     return true
@@ -65,7 +65,14 @@
 
   resolveRoute (host: string, path: string): Route | undefined {
     const name = host.replace(/:\d+$/, '').toLowerCase()
-    return this._routesByHost.get(name)?.find(route => path.startsWith(route.pathPrefix))
+    const routes = this._routesByHost.get(name)
+    if (routes === undefined) return undefined
+    // Every prefix ends with a slash, so that only as many prefixes are looked up as the path has slashes, whatever the number of routes.
+    for (let end = path.lastIndexOf('/'); end >= 0; end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)) {
+      const route = routes.get(path.slice(0, end + 1))
+      if (route !== undefined) return route
+    }
+    return undefined
   }
 
   findService (name: string): RoutedService | undefined {
--- a/packages/core/test/common/routing/routeTable.test.ts
+++ b/packages/core/test/common/routing/routeTable.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import fc from 'fast-check'
 import { type Route, type RouteDocument, RouteKind, RouteTable, SeededRandom } from '@trefoilshunt/core'
 
 function createRoute (name: string, pathPrefix: string, targets = [{ service: 's', weight: 1 }]): Route {
@@ -34,6 +35,19 @@
   assert.is(table.resolveRoute('other.example', '/orders/17'), undefined)
 })
 
+test('the route is the longest prefix that begins the path, as a search of all routes finds it', () => {
+  const segment = fc.constantFrom('a', 'b', 'ab', '')
+  const path = fc.array(segment, { maxLength: 5 }).map(segments => `/${segments.join('/')}`)
+  const prefix = path.map(text => text.endsWith('/') ? text : `${text}/`)
+  fc.assert(fc.property(fc.array(prefix, { maxLength: 8 }), path, fc.constantFrom('', '?x=/a/', '/?y'), (prefixes, drawn, query) => {
+    const routes = prefixes.map((pathPrefix, index) => createRoute(`r${index}`, pathPrefix))
+    const table = new RouteTable(new SeededRandom(1))
+    table.apply(createDocument(1, routes))
+    const found = [...routes].sort((left, right) => right.pathPrefix.length - left.pathPrefix.length).find(({ pathPrefix }) => (drawn + query).startsWith(pathPrefix))
+    assert.is(table.resolveRoute('shop.example', drawn + query)?.name, found?.name)
+  }))
+})
+
 test('an older document never replaces a newer one', () => {
   const table = new RouteTable(new SeededRandom(1))
   assert.ok(table.apply(createDocument(7, [createRoute('new', '/')])))
