--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -152,8 +152,8 @@
   | { type: 'findStreamOrigin', requestId: string | undefined, service: string }
   /** Looks a turn up in every partition that the peer owns. */
   | { type: 'findChain', turnId: string }
-  /** Requests the newest records of a topic that the sender can't read, or of which the peer has newer ones. */
-  | { type: 'topic', topic: string }
+  /** Requests the newest records of a topic that the sender can't read, or of which the peer has newer ones. `knownDigest` is that of the sender's content. */
+  | { type: 'topic', topic: string, knownDigest?: string }
   /** Requests the addresses of all nodes that the peer knows. */
   | { type: 'nodes' }
 
@@ -169,5 +169,5 @@
   | { type: 'streamOrigin', origin?: StreamOrigin, versions: VersionKnowledge, version?: string }
   /** `chain` is absent if the turn was not found; `partitions` are those that were searched by their confirmed owner. */
   | { type: 'chain', chain?: RetainedTurn[], partitions: number[] }
-  /** `records` is absent if the peer has not read the topic. */
-  | { type: 'topicContent', records?: KeyedRecord[] }
+  /** `records` is absent if the peer has not read the topic, sends it to others at the moment, or has the content that the sender knows (`isUnchanged`). */
+  | { type: 'topicContent', records?: KeyedRecord[], isUnchanged?: boolean }
--- a/packages/node/src/node/routed/clusterView.ts
+++ b/packages/node/src/node/routed/clusterView.ts
@@ -1,9 +1,10 @@
 /** A node's view of the cluster, namely document, workers and other nodes, from the log or, while it can't read the log, from peers or snapshots. */
-import type { IRouteTable, IWorkerRegistry, KeyedRecord, LogFields, LogLevel, RouteDocument, WorkerRegistration } from '@trefoilshunt/core'
+import { type IRandom, type IRouteTable, type IWorkerRegistry, type KeyedRecord, type LogFields, type LogLevel, type RouteDocument, TokenBucket, type WorkerRegistration } from '@trefoilshunt/core'
 import { Packr } from 'msgpackr'
 import type { ILogClient } from '../../common/routed/logClient.js'
-import type { NodeAddress } from '../../common/routed/routedPeerMessages.js'
+import type { NodeAddress, PeerReply } from '../../common/routed/routedPeerMessages.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
+import { DocumentCatchUp } from './documentCatchUp.js'
 import type { NodeDirectory } from './nodeDirectory.js'
 import type { PeerMesh } from './peerMesh.js'
 import { TopicSnapshots } from './topicSnapshots.js'
@@ -14,6 +15,10 @@
 const ANNOUNCE_RETRY_MS = 300
 const APPEND_TIMEOUT_MS = 1_500
 const TOPIC_QUERY_TIMEOUT_MS = 500
+/** A document of thousands of routes takes most of this over a slow link. */
+const DOCUMENT_QUERY_TIMEOUT_MS = 1_500
+/** Bytes of topics that a node sends to peers: less than a slow link carries, so that what callers wait for still passes. */
+const SENT_TOPICS_BYTES_PER_S = 1_500_000
 /** Peers that got no response from the log for this long, several joins of the member group, are not queried for topics. */
 const MAX_SINCE_LOG_RESPONSE_MS = 1_100
 /** The document counts as fresh if the log has responded to this node's reads of it, or to a peer with no newer document, within this time. */
@@ -28,15 +33,20 @@
 export interface ClusterViewOptions {
   /** This node's name. */
   node: string
+  zone: string
   documentTopic: string
   documentKey: string
   workerTopic: string
   log: ILogClient
+  /** Largest record and largest append that the log accepts. */
+  maxRecordBytes: number
+  maxAppendBytes: number
   codec: IRoutedCodec
   routes: IRouteTable
   registry: IWorkerRegistry
   directory: NodeDirectory
   mesh: PeerMesh
+  random: IRandom
   /** Time since the log last confirmed this node's membership. */
   sinceMembershipConfirmedMs: () => number
   write: (level: LogLevel, event: string, fields: LogFields) => void
@@ -57,17 +67,22 @@
   private readonly _workerFollower: TopicFollower
   private readonly _nodeFollower: TopicFollower
   private readonly _snapshots: TopicSnapshots
+  private readonly _catchUp: DocumentCatchUp
+  private readonly _sentTopics = new TokenBucket({ ratePerSecond: SENT_TOPICS_BYTES_PER_S, burst: SENT_TOPICS_BYTES_PER_S })
   private _workersKnownAtMs: number | undefined
   private _isStopped = false
 
   constructor (private readonly _options: ClusterViewOptions) {
-    const { documentTopic, workerTopic, log, directory } = _options
+    const { documentTopic, workerTopic, log, directory, maxRecordBytes, maxAppendBytes } = _options
     this._snapshots = new TopicSnapshots({
       log,
+      maxRecordBytes,
+      maxAppendBytes,
       contents: () => this._contentsToSnapshot,
       isWriter: () => directory.alive.every(({ from }) => from.node > _options.node),
       write: (event, fields) => this._write('info', event, fields)
     })
+    this._catchUp = new DocumentCatchUp({ currentVersion: () => _options.routes.version, fetch: async peer => await this._fetchDocument(peer), random: _options.random })
     this._documentFollower = this._createFollower(documentTopic, records => this._applyDocuments(records), records => this._applyDocuments(records))
     this._workerFollower = this._createFollower(workerTopic, records => this._applyRegistrations(records, false), records => this._applyRegistrations(records, true))
     this._nodeFollower = this._createFollower(NODE_TOPIC, records => this._applyNodes(records), records => this._applyNodes(records))
@@ -104,18 +119,14 @@
     this._snapshots.stop()
   }
 
-  /** The newest records of a topic; undefined while this node has not read it from the log. */
-  contentOf (topic: string): KeyedRecord[] | undefined {
-    return this._followers.find(follower => follower.topic === topic)?.content
-  }
-
   /** Time since the last response of the log to this node. */
   get sinceLogResponseMs (): number {
     return Math.min(this._options.sinceMembershipConfirmedMs(), this._documentFollower.sinceLastReadMs, this._workerFollower.sinceLastReadMs, this._nodeFollower.sinceLastReadMs)
   }
 
-  /** True if the active document can't be out of date by more than a few seconds. */
+  /** True if the active document can't be out of date by more than a few seconds, and no peer has a newer one. */
   get isDocumentFresh (): boolean {
+    if (this._catchUp.isBehind) return false
     const isReadHere = this._documentFollower.content !== undefined && this._documentFollower.sinceLastReadMs < DOCUMENT_FRESH_MS
     return isReadHere ||
       this._options.directory.alive.some(status => status.logSilenceMs < DOCUMENT_FRESH_MS && status.documentVersion <= this._options.routes.version)
@@ -134,7 +145,7 @@
         onContent(records)
       },
       onReachable: isReachable => this._handleReachability(topic, isReachable),
-      readFallback: async () => await this._readFromPeersOrSnapshots(topic),
+      readFallback: async knownDigest => await this._queryPeers(topic, knownDigest) ?? await this._snapshots.read(topic),
       write: (event, fields) => this._write('warn', event, fields)
     })
   }
@@ -156,15 +167,26 @@
     return contents
   }
 
-  private async _readFromPeersOrSnapshots (topic: string): Promise<KeyedRecord[] | undefined> {
-    return await this._queryPeers(topic) ?? await this._snapshots.read(topic)
+  /** The content of a peer to which the log responds; 'unchanged' if it has the digest `knownDigest`. */
+  private async _queryPeers (topic: string, knownDigest: string | undefined): Promise<KeyedRecord[] | 'unchanged' | undefined> {
+    const peers = this._options.directory.alive.filter(status => status.logSilenceMs < MAX_SINCE_LOG_RESPONSE_MS).map(({ from }) => from)
+    const nearPeers = peers.filter(({ zone }) => zone === this._options.zone)
+    const candidates = nearPeers.length > 0 ? nearPeers : peers
+    if (candidates.length === 0) return undefined
+    const { node } = candidates[this._options.random.nextInt(candidates.length)]
+    const reply = await this._options.mesh.requestOnce(node, { type: 'topic', topic, knownDigest }, topic === this._options.documentTopic ? DOCUMENT_QUERY_TIMEOUT_MS : TOPIC_QUERY_TIMEOUT_MS)
+    if (reply?.type !== 'topicContent') return undefined
+    return reply.isUnchanged === true ? 'unchanged' : reply.records
   }
 
-  private async _queryPeers (topic: string): Promise<KeyedRecord[] | undefined> {
-    const peer = this._options.directory.alive.filter(status => status.logSilenceMs < MAX_SINCE_LOG_RESPONSE_MS).sort((left, right) => left.logSilenceMs - right.logSilenceMs).at(0)
-    if (peer === undefined) return undefined
-    const reply = await this._options.mesh.requestOnce(peer.from.node, { type: 'topic', topic }, TOPIC_QUERY_TIMEOUT_MS)
-    return reply?.type === 'topicContent' ? reply.records : undefined
+  /** Answers the request of a peer for a topic. */
+  answerTopic (topic: string, knownDigest?: string): PeerReply {
+    const follower = this._followers.find(candidate => candidate.topic === topic)
+    const records = follower?.content
+    if (records === undefined) return { type: 'topicContent' }
+    if (knownDigest !== undefined && knownDigest === follower?.contentDigest) return { type: 'topicContent', isUnchanged: true }
+    const bytes = records.reduce((total, { value }) => total + (value?.length ?? 0), 0)
+    return this._sentTopics.tryTake(steadyNowMs(), Math.min(bytes, SENT_TOPICS_BYTES_PER_S)) ? { type: 'topicContent', records } : { type: 'topicContent' }
   }
 
   private _applyDocuments (records: KeyedRecord[]): void {
@@ -225,9 +247,16 @@
     }
   }
 
-  /** Requests the document from a peer that has a newer one, and applies it; does nothing if the peer sends none in time. */
-  async fetchDocument (peer: string): Promise<void> {
-    const reply = await this._options.mesh.requestOnce(peer, { type: 'topic', topic: this._options.documentTopic }, TOPIC_QUERY_TIMEOUT_MS)
+  /** To be called with the version of the document that a peer has in force. */
+  handlePeerVersion (peer: string, version: number): void {
+    this._catchUp.handlePeerVersion(peer, version)
+  }
+
+  /** Requests the document from a peer, and applies it; does nothing if the peer sends none in time. */
+  private async _fetchDocument (peer: string): Promise<void> {
+    const { mesh, documentTopic, routes } = this._options
+    const reply = await mesh.requestOnce(peer, { type: 'topic', topic: documentTopic }, DOCUMENT_QUERY_TIMEOUT_MS)
+    this._write('info', 'documentRequested', { peer, version: routes.version, isReceived: reply?.type === 'topicContent' && reply.records !== undefined })
     if (reply?.type === 'topicContent' && reply.records !== undefined) this._applyDocuments(reply.records)
   }
 
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -169,6 +169,10 @@
     const { documentTopic, documentKey, workerTopic, codec } = _options
     this._clusterView = new ClusterView({
       node,
+      zone,
+      random: container.resolve<IRandom>(IRandom),
+      maxRecordBytes: _options.maxRecordBytes,
+      maxAppendBytes: _options.maxAppendBytes,
       documentTopic,
       documentKey,
       workerTopic,
@@ -373,7 +377,7 @@
     this._partitionHost.applyPeerOwnership(status.owned)
     this._poisonRequestDetector.applyPeerCrashes(status.crashes ?? [])
     this._noticeExchange.apply(status.rateLimits ?? [])
-    if (status.documentVersion > this._routes.version) void this._clusterView.fetchDocument(status.from.node)
+    this._clusterView.handlePeerVersion(status.from.node, status.documentVersion)
   }
 
   private _handlePeerRequest (request: PeerRequest, respond: PeerResponder, requester: PeerRequester): void {
@@ -383,7 +387,7 @@
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
       case 'rateLimit': return this._noticeExchange.apply([request.report])
       case 'notices': return this._noticeExchange.apply(request.reports)
-      case 'topic': return respond({ type: 'topicContent', records: this._clusterView.contentOf(request.topic) }, true)
+      case 'topic': return respond(this._clusterView.answerTopic(request.topic, request.knownDigest), true)
     }
   }
 
--- a/packages/node/src/node/routed/topicFollower.ts
+++ b/packages/node/src/node/routed/topicFollower.ts
@@ -1,4 +1,5 @@
 /** Follows a keyed topic of the log: reads the newest record of each key first, then every change as it is appended. */
+import { createHash } from 'node:crypto'
 import type { KeyedRecord, LogFields } from '@trefoilshunt/core'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
@@ -21,8 +22,8 @@
   onContent: (records: KeyedRecord[]) => void
   /** Called when reads of the log begin to succeed or to fail. */
   onReachable: (isReachable: boolean) => void
-  /** Reads the content from peers or snapshots while the log can't be read; undefined when none has it. */
-  readFallback: () => Promise<KeyedRecord[] | undefined>
+  /** Reads the content from peers or snapshots while the log can't be read; undefined when none has it, 'unchanged' if it has the digest `knownDigest`. */
+  readFallback: (knownDigest: string | undefined) => Promise<KeyedRecord[] | 'unchanged' | undefined>
   /** Writes a log line. */
   write: (event: string, fields: LogFields) => void
 }
@@ -41,6 +42,7 @@
   private _lastReadAtMs = steadyNowMs()
   private _isStopped = false
   private _hasContent = false
+  private _digest: string | undefined
 
   constructor (private readonly _options: TopicFollowerOptions) {}
 
@@ -72,6 +74,12 @@
     return this._nextOffset === undefined ? undefined : [...this._content].map(([key, value]) => ({ key, value }))
   }
 
+  /** Digest of all keys and values; undefined before the content was read. Equal content has the same digest on every node. */
+  get contentDigest (): string | undefined {
+    if (this._hasContent) this._digest ??= digestOf(this._content)
+    return this._digest
+  }
+
   /** Starts to follow the topic. */
   start (): void {
     void this._follow()
@@ -134,6 +142,7 @@
       return true
     }
     this._nextOffset = result.nextOffset
+    if (result.records.length > 0) this._digest = undefined
     for (const record of result.records) {
       if (record.value === undefined) this._content.delete(record.key)
       else this._content.set(record.key, record.value)
@@ -143,13 +152,14 @@
   }
 
   private async _readFallback (): Promise<void> {
-    const records = await this._options.readFallback()
-    if (records === undefined || this._isStopped) return
+    const records = await this._options.readFallback(this.contentDigest)
+    if (records === undefined || records === 'unchanged' || this._isStopped) return
     this._replaceContent(records)
   }
 
   private _replaceContent (records: KeyedRecord[]): void {
     this._content.clear()
+    this._digest = undefined
     for (const { key, value } of records) {
       if (value !== undefined) this._content.set(key, value)
     }
@@ -164,3 +174,12 @@
     this._options.onReachable(isReachable)
   }
 }
+
+function digestOf (content: ReadonlyMap<string, Uint8Array>): string {
+  const hash = createHash('sha256')
+  for (const key of [...content.keys()].sort()) {
+    const value = content.get(key) ?? new Uint8Array()
+    hash.update(`${key} ${value.length} `).update(value)
+  }
+  return hash.digest('base64')
+}
--- a/packages/node/src/node/routed/topicSnapshots.ts
+++ b/packages/node/src/node/routed/topicSnapshots.ts
@@ -5,6 +5,7 @@
 import type { KeyedRecord, LogFields } from '@trefoilshunt/core'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import { delay } from '../steadyClock.js'
+import { joinRecords, splitRecord } from './recordParts.js'
 
 /** Topic that holds the snapshots. */
 export const SNAPSHOT_TOPIC = 'keyed.copies'
@@ -19,13 +20,19 @@
 const RETRY_MS = 1_000
 const CALL_TIMEOUT_MS = 500
 const RECORDS_PER_APPEND = 200
+/** Of the largest record, what its length, key and the length of the key take. */
+const RECORD_OVERHEAD_BYTES = 1_024
 /** Between the name of the topic and the key of a record. Names of topics have no spaces. */
 const SEPARATOR = ' '
-/** The log stores the length of a key in one byte. Records whose key is longer with the name of the topic are left out. */
-const MAX_KEY_BYTES = 255
+/** The log stores the length of a key in one byte, and parts of records have longer keys. Records whose key is longer with the name of the topic are left out. */
+const MAX_KEY_BYTES = 250
 
 export interface TopicSnapshotsOptions {
   log: ILogClient
+  /** Largest record that the log accepts; larger ones are stored in parts. */
+  maxRecordBytes: number
+  /** Largest append that the log accepts. */
+  maxAppendBytes: number
   /** The newest records of each topic to store; undefined while this node has not read all of these topics from the log. */
   contents: () => ReadonlyMap<string, readonly KeyedRecord[]> | undefined
   /** True on the node that writes the snapshots. Two writers at once do no harm. */
@@ -68,9 +75,7 @@
     const prefix = topic + SEPARATOR
     for (let partition = 0; partition < SNAPSHOT_PARTITIONS; partition++) {
       const snapshot = await this._readSnapshot(partition)
-      const records = [...snapshot ?? []]
-        .filter(([key]) => key.startsWith(prefix))
-        .map(([key, value]) => ({ key: key.slice(prefix.length), value }))
+      const records = joinRecords([...snapshot ?? []].filter(([key]) => key.startsWith(prefix)).map(([key, value]) => [key.slice(prefix.length), value] as const))
       if (records.length === 0) continue
       this._options.write('copyRead', { topic, partition, records: records.length })
       return records
@@ -109,8 +114,7 @@
 
   private async _writeChanges (partition: number, snapshot: Map<string, Uint8Array>, contents: ReadonlyMap<string, readonly KeyedRecord[]>): Promise<boolean> {
     const changes = this._findChanges(snapshot, contents)
-    for (let from = 0; from < changes.length; from += RECORDS_PER_APPEND) {
-      const records = changes.slice(from, from + RECORDS_PER_APPEND)
+    for (const records of groupForAppends(changes, this._options.maxAppendBytes)) {
       const result = await this._options.log.append({ topic: SNAPSHOT_TOPIC, partition, records, timeoutMs: CALL_TIMEOUT_MS })
       if (result.type !== 'appended') {
         this._options.write('copyDelayed', { partition, changes: changes.length, detail: 'detail' in result ? result.detail : result.type })
@@ -130,7 +134,8 @@
     for (const [topic, records] of contents) {
       for (const { key, value } of records) {
         const snapshotKey = topic + SEPARATOR + key
-        if (value !== undefined && Buffer.byteLength(snapshotKey) <= MAX_KEY_BYTES) expected.set(snapshotKey, value)
+        if (value === undefined || Buffer.byteLength(snapshotKey) > MAX_KEY_BYTES) continue
+        for (const part of splitRecord({ key: snapshotKey, value }, this._options.maxRecordBytes - RECORD_OVERHEAD_BYTES)) expected.set(part.key, part.value)
       }
     }
     const changes: KeyedRecord[] = []
@@ -161,3 +166,21 @@
     }
   }
 }
+
+/** Groups records so that each group fits into one append. */
+function groupForAppends (records: readonly KeyedRecord[], maxBytes: number): KeyedRecord[][] {
+  const groups: KeyedRecord[][] = []
+  let bytes = 0
+  for (const record of records) {
+    const recordBytes = record.key.length + (record.value?.length ?? 0) + RECORD_OVERHEAD_BYTES
+    const group = groups.at(-1)
+    if (group === undefined || group.length >= RECORDS_PER_APPEND || bytes + recordBytes > maxBytes) {
+      groups.push([record])
+      bytes = recordBytes
+    } else {
+      group.push(record)
+      bytes += recordBytes
+    }
+  }
+  return groups
+}
