A quarantined request is refused although its crashes were cleared

SuspectRequests.isEmpty was true once the crashes of the only quarantined request had been cleared, as another worker had served an equal request, and PoisonRequestDetector lets everything through while it is. Now quarantined requests count, too.

suspectRequests.test.ts: failed before (3 of 4).

--- a/packages/core/src/common/dispatch/suspectRequests.ts
+++ b/packages/core/src/common/dispatch/suspectRequests.ts
@@ -33,9 +33,9 @@
 
   constructor (private readonly _options: SuspectRequestsOptions) {}
 
-  /** True while no crashes are recorded; callers may then skip computing a fingerprint. */
+  /** True while no request is suspect or quarantined; callers may then skip computing a fingerprint. */
   get isEmpty (): boolean {
-    return this._suspects.size === 0
+    return this._suspects.size === 0 && this._quarantinedFingerprints.size === 0
   }
 
   /** Records a crash of a worker that ran the request; true when this crash quarantines it. Only a worker's first crash counts. */
--- a/packages/core/test/common/dispatch/suspectRequests.test.ts
+++ b/packages/core/test/common/dispatch/suspectRequests.test.ts
@@ -31,4 +31,13 @@
   assert.not(suspects.isQuarantined('f'), 'crashes from before do not count')
 })
 
+test('a request stays quarantined after its crashes were cleared, and the set is not empty', () => {
+  const suspects = new SuspectRequests({ crashesToQuarantine: 2 })
+  suspects.addCrash('f', 'w1', 0)
+  suspects.addCrash('f', 'w2', 1)
+  suspects.clear('f')
+  assert.ok(suspects.isQuarantined('f'))
+  assert.not(suspects.isEmpty)
+})
+
 test.run()
