Damaged records of turns and accounts are reported as damaged

A turn record with an impossible number of parts threw while a partition was rebuilt (RangeError: Invalid array length), and an account without its numbers was accepted with NaN tokens, which no budget ever refuses. decodeRecord now checks each field, and the parts of a turn must name the same number of parts.

partitionState.test.ts: both tests failed before.

--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -92,6 +92,7 @@
       return true
     }
     const parts = this._incompleteTurns.get(record.turnId) ?? new Array<Uint8Array | undefined>(record.count).fill(undefined)
+    if (parts.length !== record.count) return false
     parts[record.index] = record.bytes
     this._incompleteTurns.set(record.turnId, parts)
     if (parts.some(part => part === undefined)) return true
--- a/packages/core/src/common/turns/turnRecords.ts
+++ b/packages/core/src/common/turns/turnRecords.ts
@@ -15,6 +15,9 @@
 /** Space reserved in a record for its key and the fields other than the part's bytes. */
 const RECORD_OVERHEAD_BYTES = 512
 
+/** Parts of one turn; more than those of the largest output that is retained. */
+const MAX_PARTS = 10_000
+
 const ACCOUNT_PREFIX = 'p/'
 
 const packr = new Packr({ useRecords: false, mapsAsObjects: true })
@@ -59,12 +62,14 @@
   try {
     const fields = packr.unpack(value) as Record<string, unknown>
     if (typeof fields.p === 'string') {
-      const openTurns = new Map((fields.o as Array<[string, number]>).map(([id, tokens]) => [String(id), Number(tokens)]))
-      const account = { usedTokens: Number(fields.u), openTurns, allowedTokens: Number(fields.a), budgetTokens: Number(fields.b) }
-      return { type: 'account', programId: fields.p, account, updatedAtMs: Number(fields.w) }
+      const { p: programId, u: usedTokens, o: openTurns, a: allowedTokens, b: budgetTokens, w: updatedAtMs } = fields
+      if (!isAmount(usedTokens) || !isAmount(allowedTokens) || !isAmount(budgetTokens) || !isAmount(updatedAtMs) || !isOpenTurnList(openTurns)) return undefined
+      return { type: 'account', programId, account: { usedTokens, openTurns: new Map(openTurns), allowedTokens, budgetTokens }, updatedAtMs }
     }
-    if (typeof fields.t !== 'string' || !(fields.b instanceof Uint8Array)) return undefined
-    return { type: 'turnPart', turnId: fields.t, index: Number(fields.i), count: Number(fields.n), bytes: fields.b }
+    const { t: turnId, i: index, n: count, b: bytes } = fields
+    if (typeof turnId !== 'string' || !(bytes instanceof Uint8Array)) return undefined
+    if (!isAmount(index) || !isAmount(count) || !Number.isInteger(index) || !Number.isInteger(count) || index >= count || count > MAX_PARTS) return undefined
+    return { type: 'turnPart', turnId, index, count, bytes }
   } catch {
     return undefined
   }
@@ -94,6 +99,14 @@
   return `t/${shortenId(turnId)}/${index}`
 }
 
+function isAmount (value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0
+}
+
+function isOpenTurnList (value: unknown): value is Array<[requestId: string, tokens: number]> {
+  return Array.isArray(value) && value.every(entry => Array.isArray(entry) && typeof entry[0] === 'string' && isAmount(entry[1]))
+}
+
 /** The id itself, or its digest when it is long or has characters other than printable ASCII. */
 function shortenId (id: string): string {
   return id.length <= MAX_ID_CHARACTERS && /^[\x21-\x7e]*$/.test(id) ? id : digestText(id)
--- a/packages/core/test/common/turns/partitionState.test.ts
+++ b/packages/core/test/common/turns/partitionState.test.ts
@@ -1,3 +1,4 @@
+import { Packr } from 'msgpackr'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import fc from 'fast-check'
@@ -176,4 +177,27 @@
   fc.assert(fc.property(fc.uint8Array({ maxLength: 60 }), bytes => typeof state.applyRecord(bytes, 0) === 'boolean'))
 })
 
+test('damaged records are reported as such, whatever fields they lack', () => {
+  const packr = new Packr({ useRecords: false })
+  const damaged: unknown[] = [
+    { t: 'a', i: 0, n: -1, b: new Uint8Array(1) },
+    { t: 'a', i: 2, n: 1, b: new Uint8Array(1) },
+    { t: 'a', i: 0, n: 1e9, b: new Uint8Array(1) },
+    { t: 'a', i: 0.5, n: 2, b: new Uint8Array(1) },
+    { p: 'p', o: [] },
+    { p: 'p', u: -1, o: [], a: 0, b: 0, w: 0 },
+    { p: 'p', u: 0, o: [['a', 'x']], a: 0, b: 0, w: 0 },
+    { p: 'p', u: 0, o: 'x', a: 0, b: 0, w: 0 }
+  ]
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  for (const fields of damaged) assert.is(state.applyRecord(packr.pack(fields), 0), false, JSON.stringify(fields))
+})
+
+test('parts of a turn that name different numbers of parts are damaged', () => {
+  const packr = new Packr({ useRecords: false })
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  assert.ok(state.applyRecord(packr.pack({ t: 'a', i: 0, n: 2, b: new Uint8Array(1) }), 0))
+  assert.is(state.applyRecord(packr.pack({ t: 'a', i: 2, n: 3, b: new Uint8Array(1) }), 0), false)
+})
+
 test.run()
