An account with a turn whose end is not known is kept for an hour (BUDGET)

An account that had not changed for 300 s was removed with the reservation of its open turn, so that the program got its whole budget anew.

partitionState.test.ts: failed before ('granted' where 'spent' is due).

--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -6,6 +6,8 @@
 
 /** An account that has not changed for this long is removed; its program is taken to have ended. */
 const ACCOUNT_RETENTION_MS = 300_000
+/** The same for an account with a turn whose end is not known. */
+const OPEN_ACCOUNT_RETENTION_MS = 3_600_000
 
 /** Request of an entry node to the partition owner for permission to run a turn. */
 export interface GrantRequest {
@@ -167,7 +169,8 @@
   expire (nowMs: number): KeyedRecord[] {
     const records = this._turns.expire(nowMs).flatMap(turn => encodeTurnRemoval(turn, this._options.maxRecordBytes))
     for (const [programId, changedAtMs] of this._accountChangedAtMs) {
-      if (nowMs - changedAtMs < ACCOUNT_RETENTION_MS) continue
+      const retentionMs = this._ledger.hasOpenTurns(programId) ? OPEN_ACCOUNT_RETENTION_MS : ACCOUNT_RETENTION_MS
+      if (nowMs - changedAtMs < retentionMs) continue
       this._accountChangedAtMs.delete(programId)
       this._ledger.remove(programId)
       records.push(encodeAccountRemoval(programId))
--- a/packages/core/src/common/turns/tokenLedger.ts
+++ b/packages/core/src/common/turns/tokenLedger.ts
@@ -64,6 +64,11 @@
     return this._accounts.get(programId)
   }
 
+  /** True while the end of a turn of the program is not known. */
+  hasOpenTurns (programId: string): boolean {
+    return [...this._accounts.get(programId)?.openTurns.keys() ?? []].some(requestId => requestId !== UNKNOWN_USE_ID)
+  }
+
   /** Reserves the maximum of a turn. A repeated request keeps its first reservation. */
   reserve ({ programId, requestId, budgetTokens, maxTokens }: ReserveOptions): TokenReservation {
     const account = this._accounts.get(programId) ?? { usedTokens: 0, openTurns: new Map<string, number>(), allowedTokens: 0, budgetTokens }
--- a/packages/core/test/common/turns/partitionState.test.ts
+++ b/packages/core/test/common/turns/partitionState.test.ts
@@ -177,6 +177,15 @@
   fc.assert(fc.property(fc.uint8Array({ maxLength: 60 }), bytes => typeof state.applyRecord(bytes, 0) === 'boolean'))
 })
 
+test('the tokens of a turn whose end is not known count for longer than an account without one is kept', () => {
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  const grant = (requestId: string): string => state.grant({ programId: 'p', requestId, prompt: [], budgetTokens: 1_000, maxTokens: 900 }, 0).type
+  assert.is(grant('a'), 'granted')
+  state.expire(400_000)
+  assert.is(grant('b'), 'spent')
+  assert.ok(state.expire(4_000_000).length > 0, 'the account is removed in the end')
+})
+
 test('damaged records are reported as such, whatever fields they lack', () => {
   const packr = new Packr({ useRecords: false })
   const damaged: unknown[] = [
