--- a/packages/core/src/common/turns/turnTree.ts
+++ b/packages/core/src/common/turns/turnTree.ts
@@ -31,6 +31,8 @@
  */
 export class TurnTree {
   private readonly _entries = new Map<string, TurnEntry>()
+  /** How long turns that are not held yet are needed by held ones that continue them. */
+  private readonly _missingUntilMs = new Map<string, number>()
   private _bytes = 0
 
   /** Number of turns held. */
@@ -54,7 +56,8 @@
 
   /** Adds a turn, and retains the held turns of the chain before it for at least as long. A known turn is not replaced. */
   add (turn: RetainedTurn, nowMs: number): void {
-    const expiresAtMs = nowMs + turn.keepMs
+    const expiresAtMs = Math.max(nowMs + turn.keepMs, this._missingUntilMs.get(turn.turnId) ?? 0)
+    this._missingUntilMs.delete(turn.turnId)
     if (!this._entries.has(turn.turnId)) {
       this._entries.set(turn.turnId, { turn, expiresAtMs })
       this._bytes += turn.input.length + turn.output.length
@@ -86,6 +89,9 @@
       this._bytes -= turn.input.length + turn.output.length
       expired.push(turn)
     }
+    for (const [turnId, untilMs] of this._missingUntilMs) {
+      if (untilMs <= nowMs) this._missingUntilMs.delete(turnId)
+    }
     return expired
   }
 
@@ -94,7 +100,9 @@
     while (entry !== undefined && entry.expiresAtMs <= expiresAtMs) {
       entry.expiresAtMs = expiresAtMs
       const previous: string | undefined = entry.turn.previousTurnId
-      entry = previous === undefined || previous === entry.turn.turnId ? undefined : this._entries.get(previous)
+      if (previous === undefined || previous === entry.turn.turnId) return
+      entry = this._entries.get(previous)
+      if (entry === undefined) this._missingUntilMs.set(previous, Math.max(expiresAtMs, this._missingUntilMs.get(previous) ?? 0))
       if (entry?.expiresAtMs === expiresAtMs) return
     }
   }
--- a/packages/core/test/common/turns/partitionState.test.ts
+++ b/packages/core/test/common/turns/partitionState.test.ts
@@ -209,4 +209,16 @@
   assert.is(state.applyRecord(packr.pack({ t: 'a', i: 2, n: 3, b: new Uint8Array(1) }), 0), false)
 })
 
+test('a turn is held as long as the turns that continue it, in whichever order they are added', () => {
+  fc.assert(fc.property(fc.shuffledSubarray(['a', 'b', 'c', 'd'], { minLength: 4 }), fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 4, maxLength: 4 }), fc.nat(60), (order, keepMs, nowMs) => {
+    const previousOf: Record<string, string | undefined> = { b: 'a', c: 'b', d: 'b' }
+    const tree = new TurnTree()
+    for (const turnId of order) tree.add({ ...createTurn(turnId, previousOf[turnId]), keepMs: keepMs['abcd'.indexOf(turnId)] }, 0)
+    tree.expire(nowMs)
+    for (const turnId of order) {
+      if (tree.has(turnId)) assert.ok(tree.chainOf(turnId) !== undefined, `the chain of ${turnId}`)
+    }
+  }))
+})
+
 test.run()
