A node learns once how slow the log is, and lost answers are no evidence of it

Cause: each owner and each queue of appends learned the log's pace by itself, from calls that it gave up too early: at 300 ms an answer, each takeover spent one call on its epoch and two on its first append in vain, while the joins and appends of other partitions of the node had long been answered after 300 ms. And each call without an answer doubled the time-out for all later ones, so that a log that loses a third of its answers, but is fast, was waited for up to 1.5 s. Change: LogResponseTime, one for a node, takes answers as evidence, not silence; calls in a row without an answer double the time-out for themselves.

--- a/packages/node/src/node/routed/appendQueue.ts
+++ b/packages/node/src/node/routed/appendQueue.ts
@@ -2,13 +2,12 @@
 import type { KeyedRecord, LogFields } from '@trefoilshunt/core'
 import type { AppendResult, ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
-import { AdaptiveTimeout } from './adaptiveTimeout.js'
+import type { LogResponseTime } from './logResponseTime.js'
 
 /** All owners append under one producer name, so that the log refuses earlier owners once it has a higher epoch. */
 export const PRODUCER = 'owner'
-/** Shortest time-out of an append. The log recognises a repeat by its sequence number. */
-const MIN_TIMEOUT_MS = 80
-const MAX_TIMEOUT_MS = 1_500
+/** Time-outs of an append. The log recognises a repeat by its sequence number. */
+const APPEND_TIMEOUT = { minMs: 80, maxMs: 1_500 }
 const RETRY_MS = 40
 const MAX_RETRY_MS = 250
 /** Longest delay of records that nobody waits for; an earlier append takes them along. */
@@ -25,6 +24,8 @@
   log: ILogClient
   /** Size up to which waiting appends are merged in one call; a single larger append is sent whole. */
   maxAppendBytes: number
+  /** Shared by all partitions of the node. */
+  responseTime: LogResponseTime
   /** Called once, when the log refuses an append because another owner has a higher epoch. The caller then calls `stop`. */
   onFenced: () => void
   /** Writes a log line. */
@@ -53,7 +54,6 @@
   private _inFlightSinceMs: number | undefined
   private _lazyRecords: KeyedRecord[] = []
   private _lazyTimer: NodeJS.Timeout | undefined
-  private readonly _timeout = new AdaptiveTimeout({ minMs: MIN_TIMEOUT_MS, maxMs: MAX_TIMEOUT_MS })
   private _isStopped = false
 
   constructor (private readonly _options: AppendQueueOptions) {}
@@ -140,16 +140,21 @@
   private async _appendBatch (batch: Batch, epoch: number): Promise<void> {
     const isEmpty = batch.records.length === 0
     if (!isEmpty) this._sequence++
+    let unansweredCount = 0
     for (let tries = 1; !this._isStopped; tries++) {
+      const sentMs = steadyNowMs()
       const result = await this._options.log.append({
         topic: this._options.topic,
         partition: this._options.partition,
         records: batch.records,
         producer: { producer: PRODUCER, epoch, sequence: isEmpty ? undefined : this._sequence },
-        timeoutMs: this._timeout.ms
+        timeoutMs: this._options.responseTime.timeoutMs(APPEND_TIMEOUT, unansweredCount)
       })
       if (this._isStopped) return
+      if (result.type === 'unknown') unansweredCount++
+      else if (result.type === 'outOfSequence') this._sequence = result.expected
       if (result.type === 'appended') {
+        this._options.responseTime.recordAnswer(steadyNowMs() - sentMs)
         this._completeBatch(batch)
         return
       }
@@ -157,19 +162,12 @@
         this._options.onFenced()
         return
       }
-      this._prepareRepeat(result)
       this._options.write('appendRepeated', { partition: this._options.partition, epoch, sequence: this._sequence, tries, detail: describeFailedAppend(result) })
       if (result.type !== 'outOfSequence') await delay(Math.min(MAX_RETRY_MS, RETRY_MS * tries))
     }
   }
 
-  private _prepareRepeat (result: AppendResult): void {
-    if (result.type === 'outOfSequence') this._sequence = result.expected
-    else if (result.type === 'unknown') this._timeout.recordTimeout()
-  }
-
   private _completeBatch (batch: Batch): void {
-    this._timeout.recordAnswer()
     this._inFlight = undefined
     this._inFlightSinceMs = undefined
     for (const notifyWaiter of batch.waiters) notifyWaiter('recorded')
--- a/packages/node/src/node/routed/partitionHost.ts
+++ b/packages/node/src/node/routed/partitionHost.ts
@@ -2,7 +2,7 @@
 import type { IRandom, LogFields } from '@trefoilshunt/core'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
-import { AdaptiveTimeout } from './adaptiveTimeout.js'
+import { LogResponseTime, type TimeoutLimits } from './logResponseTime.js'
 import { EPOCHS_PER_GENERATION, OwnerState, PartitionOwner, TURN_TOPIC } from './partitionOwner.js'
 
 const MEMBER_GROUP = 'turn-owners'
@@ -69,11 +69,14 @@
   private _lastJoinSentMs = Number.NEGATIVE_INFINITY
   private _lastJoinSentWallMs = 0
   private _isStopped = false
-  private readonly _memberTimeout: AdaptiveTimeout
+  private readonly _responseTime = new LogResponseTime()
+  private readonly _memberTimeout: TimeoutLimits
+  /** Joins and leaves that failed, one after the other. */
+  private _failedMemberCalls = 0
   private _expireTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly _options: PartitionHostOptions) {
-    this._memberTimeout = new AdaptiveTimeout({ minMs: MIN_MEMBER_TIMEOUT_MS, maxMs: _options.memberTtlMs / 2 })
+    this._memberTimeout = { minMs: MIN_MEMBER_TIMEOUT_MS, maxMs: _options.memberTtlMs / 2 }
   }
 
   /** Starts to join the member group. */
@@ -141,16 +144,17 @@
       if (this._isStopped) return
       const sentMs = steadyNowMs()
       const sentWallMs = Date.now()
-      const result = await log.join({ group: MEMBER_GROUP, member, topic: TURN_TOPIC, ttlMs: memberTtlMs, generation: this._generation, timeoutMs: this._memberTimeout.ms })
+      const result = await log.join({ group: MEMBER_GROUP, member, topic: TURN_TOPIC, ttlMs: memberTtlMs, generation: this._generation, timeoutMs: this._memberTimeoutMs })
       if (this._isStopped) return
       if (result.type === 'joined') {
-        this._memberTimeout.recordAnswer()
+        this._failedMemberCalls = 0
+        this._responseTime.recordAnswer(steadyNowMs() - sentMs)
         this._lastJoinSentMs = sentMs
         this._lastJoinSentWallMs = sentWallMs
         await this._applyMembership(result.generation, result.partitions)
         if (this._isStopped) return
       } else {
-        this._memberTimeout.recordTimeout()
+        this._failedMemberCalls++
         this._options.write('groupJoinFailed', { detail: result.detail, sinceLastMs: Math.round(sentMs - this._lastJoinSentMs) })
       }
       const isSettling = result.type === 'joined' && steadyNowMs() - this._membershipChangedAtMs < SETTLING_MS
@@ -159,6 +163,10 @@
     }
   }
 
+  private get _memberTimeoutMs (): number {
+    return this._responseTime.timeoutMs(this._memberTimeout, this._failedMemberCalls)
+  }
+
   /** Hands the partitions to members that can reach each other, because other nodes could not reach them here. */
   private async _leaveWhileIsolated (): Promise<void> {
     this._options.write('isolated', { partitions: [...this._owners.keys()].join(',') })
@@ -174,8 +182,8 @@
   private async _leaveGroup (): Promise<void> {
     const untilMs = steadyNowMs() + LEAVE_TIMEOUT_MS
     while (steadyNowMs() < untilMs) {
-      if (await this._options.log.leave(MEMBER_GROUP, this._options.member, this._memberTimeout.ms)) return
-      this._memberTimeout.recordTimeout()
+      if (await this._options.log.leave(MEMBER_GROUP, this._options.member, this._memberTimeoutMs)) return
+      this._failedMemberCalls++
       await delay(SETTLING_JOIN_MS)
     }
     this._options.write('groupLeaveFailed', { tookMs: LEAVE_TIMEOUT_MS })
@@ -206,6 +214,7 @@
       partition,
       generation,
       log,
+      responseTime: this._responseTime,
       maxRecordBytes,
       maxAppendBytes,
       sinceLogResponseMs,
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -2,15 +2,16 @@
 import { type CachedPart, type GrantRequest, type IRandom, isAccountKey, type RetainedTurn, type KeyedRecord, type LogFields, PartitionState, type TurnEnd } from '@trefoilshunt/core'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
-import { AdaptiveTimeout } from './adaptiveTimeout.js'
 import { AppendQueue, describeFailedAppend, PRODUCER, type RecordOutcome } from './appendQueue.js'
+import type { LogResponseTime } from './logResponseTime.js'
 
 /** Topic of the records of turns and accounts. */
 export const TURN_TOPIC = 'keyed.turns'
-/** Shortest time-out of a recovery's calls, all of which may be repeated. A loaded log returns a full page within this time. */
-const MIN_RECOVER_TIMEOUT_MS = 250
-/** Longest time-out of a recovery's calls. A slow log takes 60 times its usual 4 ms, and a page takes as long as several answers. */
-const MAX_RECOVER_TIMEOUT_MS = 3_000
+/**
+ * Time-outs of a recovery's calls, all of which may be repeated. A loaded log returns a full page within the shortest one. A slow log takes 60 times its usual
+ * 4 ms, and a page takes as long as several answers.
+ */
+const RECOVER_TIMEOUT = { minMs: 250, maxMs: 3_000 }
 const RECOVER_RETRY_MS = 50
 /** The log counts as stalled when an append takes longer than this. */
 const STALLED_AFTER_MS = 450
@@ -33,6 +34,8 @@
   /** Generation of the member group that assigned the partition to this node. */
   generation: number
   log: ILogClient
+  /** Shared by all partitions of the node. */
+  responseTime: LogResponseTime
   maxRecordBytes: number
   /** Size up to which queued appends are merged in one call. */
   maxAppendBytes: number
@@ -75,7 +78,8 @@
   private _ownerState: OwnerState = OwnerState.Waiting
   private _isHistoryComplete = false
   private _isClosing = false
-  private readonly _recoverTimeout = new AdaptiveTimeout({ minMs: MIN_RECOVER_TIMEOUT_MS, maxMs: MAX_RECOVER_TIMEOUT_MS })
+  /** Calls of the recovery that failed, one after the other. */
+  private _failedRecoveryCalls = 0
   private readonly _queue: AppendQueue
   /** Ends of retained turns that are not in the log yet, by request id. */
   private readonly _pendingEnds = new Map<string, Promise<RecordOutcome>>()
@@ -91,6 +95,7 @@
       topic: TURN_TOPIC,
       partition: this.partition,
       log: _options.log,
+      responseTime: _options.responseTime,
       maxAppendBytes: _options.maxAppendBytes,
       onFenced: () => _options.onLost(this, 'fenced'),
       write: _options.write
@@ -149,11 +154,12 @@
     let recordCount = 0
     for (;;) {
       if (this._isLost()) return
-      const page = await this._options.log.readNewest({ topic: TURN_TOPIC, partition: this.partition, afterKey, timeoutMs: this._recoverTimeout.ms })
+      const page = await this._options.log.readNewest({ topic: TURN_TOPIC, partition: this.partition, afterKey, timeoutMs: this._recoverTimeoutMs })
       if (page.type === 'failed') {
         await this._delayRecovery(page.detail)
         continue
       }
+      this._failedRecoveryCalls = 0
       if (this._isLost()) return
       for (const record of page.records) this._applyRecoveredRecord(record, startedMs)
       recordCount += page.records.length
@@ -278,10 +284,14 @@
     const endEpoch = (this._options.generation + 1) * EPOCHS_PER_GENERATION
     for (;;) {
       if (this._isLost()) return false
+      const sentMs = steadyNowMs()
       const result = await this._options.log.append({
-        topic: TURN_TOPIC, partition: this.partition, records: [], producer: { producer: PRODUCER, epoch: this._epoch }, timeoutMs: this._recoverTimeout.ms
+        topic: TURN_TOPIC, partition: this.partition, records: [], producer: { producer: PRODUCER, epoch: this._epoch }, timeoutMs: this._recoverTimeoutMs
       })
-      if (result.type === 'appended') return true
+      if (result.type === 'appended') {
+        this._options.responseTime.recordAnswer(steadyNowMs() - sentMs)
+        return true
+      }
       if (result.type === 'fenced') {
         const headroom = endEpoch - this._epoch - 1
         if (headroom <= 1) {
@@ -295,10 +305,14 @@
     }
   }
 
+  private get _recoverTimeoutMs (): number {
+    return this._options.responseTime.timeoutMs(RECOVER_TIMEOUT, this._failedRecoveryCalls)
+  }
+
   /** Waits before the next attempt and doubles its time-out, because the log may be slow. */
   private async _delayRecovery (detail: string): Promise<void> {
-    this._options.write('partitionRecoveryDelayed', { partition: this.partition, epoch: this.epoch, timeoutMs: this._recoverTimeout.ms, detail })
-    this._recoverTimeout.recordTimeout()
+    this._options.write('partitionRecoveryDelayed', { partition: this.partition, epoch: this.epoch, timeoutMs: Math.round(this._recoverTimeoutMs), detail })
+    this._failedRecoveryCalls++
     await delay(RECOVER_RETRY_MS)
   }
 
--- a/packages/node/test/node/routed/fakeLog.ts
+++ b/packages/node/test/node/routed/fakeLog.ts
@@ -4,8 +4,12 @@
 
 const PAGE_RECORDS = 50
 
-/** Several clients may share one `KeyedLog`. Each answers after 1 ms unless a fault is set. */
+/** Several clients may share one `KeyedLog`. Each answers after `answerMs` unless a fault is set. */
 export class FakeLog implements ILogClient {
+  /** Time to an answer. A call with a shorter time-out is executed without an answer. */
+  answerMs = 1
+  /** Number of calls whose time-out ended before the answer. */
+  unansweredCount = 0
   /** True while all calls fail at once, without an effect. */
   isDown = false
   /** Number of next appends that are executed without an answer, so that their callers wait for the time-out. */
@@ -21,10 +25,11 @@
   constructor (readonly log = new KeyedLog({ partitionCount: 4, nowMs: () => performance.now() })) {}
 
   async append ({ topic, partition, records, producer, timeoutMs }: AppendRequest): Promise<AppendResult> {
-    await pause()
+    const isAnswered = await this._waitForAnswer(timeoutMs)
     if (this.isDown) return { type: 'refused', detail: 'down' }
     this.appendCount++
     const answer = this.log.append(topic, partition, records, producer)
+    if (!isAnswered) return { type: 'unknown', detail: 'late' }
     if (this.lostAppendAnswers > 0) {
       this.lostAppendAnswers--
       await pause(timeoutMs)
@@ -52,7 +57,7 @@
   }
 
   async readNewest ({ topic, partition, afterKey, timeoutMs }: NewestRequest): Promise<NewestResult> {
-    await pause()
+    if (!await this._waitForAnswer(timeoutMs)) return { type: 'failed', detail: 'late' }
     if (this.lostPages > 0) {
       this.lostPages--
       await pause(timeoutMs)
@@ -64,14 +69,15 @@
   }
 
   async join ({ group, member, ttlMs, generation, timeoutMs }: JoinRequest): Promise<JoinResult> {
-    await pause()
+    const isAnswered = await this._waitForAnswer(timeoutMs)
     if (this.isDown) return { type: 'failed', detail: 'down' }
     if (this.lostJoins > 0) {
       this.lostJoins--
       await pause(timeoutMs)
       return { type: 'failed', detail: 'no answer' }
     }
-    return { type: 'joined', ...this.log.join(group, member, ttlMs, generation) }
+    const joined = this.log.join(group, member, ttlMs, generation)
+    return isAnswered ? { type: 'joined', ...joined } : { type: 'failed', detail: 'late' }
   }
 
   async leave (group: string, member: string, timeoutMs: number): Promise<boolean> {
@@ -87,6 +93,13 @@
   }
 
   async close (): Promise<void> {}
+
+  private async _waitForAnswer (timeoutMs: number): Promise<boolean> {
+    await pause(Math.min(this.answerMs, timeoutMs))
+    const isAnswered = this.answerMs <= timeoutMs
+    if (!isAnswered) this.unansweredCount++
+    return isAnswered
+  }
 }
 
 async function pause (ms = 1): Promise<void> {
--- a/packages/node/test/node/routed/partitionHost.test.ts
+++ b/packages/node/test/node/routed/partitionHost.test.ts
@@ -140,4 +140,25 @@
   for (const host of hosts) host.close()
 })
 
+/** 75 times the usual 4 ms; above the shortest time-outs of joins, appends and recoveries. */
+const SLOW_ANSWER_MS = 300
+
+test('a node that knows how slow the log is takes partitions over without a call in vain', async () => {
+  const shared = new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() })
+  const logs = [new FakeLog(shared), new FakeLog(shared)]
+  const [leaving, successor] = ['a', 'bb'].map((member, index) => createHost(logs[index], member, undefined, 4_000))
+  leaving.start()
+  successor.start()
+  await waitFor(() => servedPartitions([leaving, successor]).length === PARTITIONS && successor.served.length === PARTITIONS / 2)
+  for (const log of logs) log.answerMs = SLOW_ANSWER_MS
+  await Promise.all([leaving, successor].map(async host => { await host.served[0].confirm() }))
+  logs[1].unansweredCount = 0
+  const moved = leaving.served.map(({ partition }) => partition)
+  await leaving.stop(2_000)
+  await waitFor(() => successor.served.length === PARTITIONS)
+  await Promise.all(moved.map(async partition => await successor.find(partition)?.confirm()))
+  successor.close()
+  assert.is(logs[1].unansweredCount, 0)
+})
+
 test.run()
--- a/packages/node/test/node/routed/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/partitionOwner.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert'
 import { type GrantRequest, type RetainedTurn, SeededRandom, type TurnEnd } from '@trefoilshunt/core'
 import { EPOCHS_PER_GENERATION, PartitionOwner, TURN_TOPIC } from '../../../src/node/routed/partitionOwner.js'
+import { LogResponseTime } from '../../../src/node/routed/logResponseTime.js'
 import { FakeLog } from './fakeLog.js'
 
 const MAX_RECORD_BYTES = 4_096
@@ -14,6 +15,7 @@
     partition: 0,
     generation,
     log,
+    responseTime: new LogResponseTime(),
     maxRecordBytes: MAX_RECORD_BYTES,
     maxAppendBytes: 100_000,
     sinceLogResponseMs: () => sinceLogResponseMs,
