Callers are told of the larger nodes while these suffice

Change: chooseEntryNodes picks the largest ready nodes of the caller's zone; those of the next size join while fewer than four are ready, or while the work of all would keep the chosen ones busy for more than half of their time. Statuses carry the share of the last second in which the event loop was busy (one byte). Sites with VMs of one size get the same addresses as before.

--- a/packages/core/src/common/routing/index.ts
+++ b/packages/core/src/common/routing/index.ts
@@ -1,3 +1,4 @@
-/** Public exports of the route document and the route table. */
+/** Public exports of the route document, the route table and the choice of nodes for callers. */
 export * from './routeDocument.js'
 export * from './routeTable.js'
+export * from './entryNodes.js'
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -37,8 +37,10 @@
   documentVersion: number
   /** False while the sender is cut off from all workers; absent from nodes that relay no calls. */
   reachesWorkers?: boolean
-  /** Processor cores of the sender; nodes with more of them coordinate placements. */
+  /** Processor cores of the sender; nodes with more of them coordinate placements and serve more callers. */
   cores: number
+  /** Share of the last second in which the sender was busy, 0 to 1. */
+  busyShare: number
   /** Time since the last response of the log to the sender. */
   logSilenceMs: number
   /** The sender's requests in flight by worker. */
--- a/packages/node/src/node/routed/nodeDirectory.ts
+++ b/packages/node/src/node/routed/nodeDirectory.ts
@@ -1,4 +1,5 @@
 /** The nodes of the system as this node sees them: which are alive, which are ready, which owns which partition. */
+import { chooseEntryNodes, type EntryNode } from '@trefoilshunt/core'
 import type { NodeAddress, NodeStatus } from '../../common/routed/routedPeerMessages.js'
 import { heartbeatTimeoutMs } from './statusPeriod.js'
 
@@ -18,6 +19,21 @@
   isDisconnected: boolean
 }
 
+/** What this node knows of itself beside its address. */
+export interface OwnState {
+  isReady: boolean
+  /** False while this node is cut off from all workers. */
+  reachesWorkers: boolean
+  cores: number
+  /** Share of the last second in which this node was busy, 0 to 1. */
+  busyShare: number
+}
+
+interface EntryCandidate extends EntryNode {
+  zone: string
+  reachesWorkers: boolean
+}
+
 export interface NodeDirectoryOptions {
   self: NodeAddress
   /** Steady time. */
@@ -109,20 +125,20 @@
   }
 
   /**
-   * Addresses, `host:port`, to which callers of a zone should connect: ready nodes of the zone if there are at least two, else of all zones. Nodes that are
-   * cut off from the workers are left out while others are ready.
+   * Addresses, `host:port`, to which callers of a zone should connect: ready nodes of the zone if there are at least two, else of all zones; of these
+   * the larger ones while they suffice. Nodes that are cut off from the workers are left out while others are ready.
    */
-  callerAddresses (zone: string | undefined, self: { isReady: boolean, reachesWorkers: boolean }): string[] {
-    const ready = this.alive.filter(status => status.isReady && !status.isDraining).map(({ from, reachesWorkers }) => ({ address: from, reachesWorkers: reachesWorkers !== false }))
-    if (self.isReady) ready.push({ address: this._options.self, reachesWorkers: self.reachesWorkers })
+  callerAddresses (zone: string | undefined, self: OwnState): string[] {
+    const ready = this.alive.filter(status => status.isReady && !status.isDraining).map(({ from, reachesWorkers, cores, busyShare }) => toCandidate(from, { reachesWorkers: reachesWorkers !== false, cores, busyShare }))
+    if (self.isReady) ready.push(toCandidate(this._options.self, self))
     const reaching = ready.filter(({ reachesWorkers }) => reachesWorkers)
-    const usable = (reaching.length > 0 ? reaching : ready).map(({ address }) => address)
-    const nodesOfZone = usable.filter(address => address.zone === zone)
-    const chosen = nodesOfZone.length >= MIN_ZONE_NODES ? nodesOfZone : usable
-    if (chosen.length <= MAX_ADDRESSES) return chosen.map(address => address.callerAddress)
+    const usable = reaching.length > 0 ? reaching : ready
+    const nodesOfZone = usable.filter(node => node.zone === zone)
+    const chosen = chooseEntryNodes(nodesOfZone.length >= MIN_ZONE_NODES ? nodesOfZone : usable)
+    if (chosen.length <= MAX_ADDRESSES) return chosen.map(node => node.callerAddress)
     // Each answer starts at another node, so that callers are spread over all nodes.
     this._rotation = (this._rotation + MAX_ADDRESSES) % chosen.length
-    return [...chosen.slice(this._rotation), ...chosen].slice(0, MAX_ADDRESSES).map(address => address.callerAddress)
+    return [...chosen.slice(this._rotation), ...chosen].slice(0, MAX_ADDRESSES).map(node => node.callerAddress)
   }
 
   /** Removes peers whose last status, or addition without one, was a minute ago or earlier. */
@@ -135,3 +151,7 @@
     }
   }
 }
+
+function toCandidate ({ callerAddress, zone }: NodeAddress, { reachesWorkers, cores, busyShare }: Omit<OwnState, 'isReady'>): EntryCandidate {
+  return { callerAddress, zone, reachesWorkers, cores, busyShare }
+}
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -9,6 +9,7 @@
 import type { IAnswerSink, RoutedRequest } from '../../common/routed/routedRequest.js'
 import type { IWorkerClient } from '../../common/routed/workerClient.js'
 import type { IEventLog } from '../logger.js'
+import { LoopUtilization } from '../loopUtilization.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
 import { PoisonRequestDetector } from './poisonRequestDetector.js'
 import { type IRoutedCodec, ClusterView } from './clusterView.js'
@@ -47,7 +48,7 @@
   zone: string
   peerAddress: string
   callerAddress: string
-  /** Processor cores of this node, fractions included; nodes with more of them coordinate placements. */
+  /** Processor cores of this node, fractions included; nodes with more of them coordinate placements and serve more callers. */
   cores?: number
   /** Addresses of peers to connect to at the start, in case the log can't be read. */
   seedAddresses: readonly string[]
@@ -100,6 +101,7 @@
   private readonly _statusBroadcast: StatusBroadcast
   private readonly _callDependencies: RoutedCallDependencies
   private readonly _gauges: NodeGauges
+  private readonly _loopUtilization = new LoopUtilization()
   private _cleanupTimer: NodeJS.Timeout | undefined
   private _openRequestCount = 0
   private _isDraining = false
@@ -295,7 +297,7 @@
 
   /** Addresses, `host:port`, to which callers of a zone should connect. */
   callerAddresses (zone: string | undefined): string[] {
-    return this._directory.callerAddresses(zone, { isReady: this.isReady, reachesWorkers: !this._links.isCutOff })
+    return this._directory.callerAddresses(zone, { isReady: this.isReady, reachesWorkers: !this._links.isCutOff, cores: this._cores, busyShare: this._loopUtilization.read() })
   }
 
   /** Drains this node for a planned stop: resolves after at least 3 s, when no request is open and the partitions are handed over, or shortly before the grace period ends. Then call `close`. */
@@ -337,6 +339,7 @@
       draining: Number(this._isDraining),
       open_requests: this._openRequestCount,
       document_version: this._routes.version,
+      busy_share: this._loopUtilization.read(),
       ...this._gauges.read()
     })
   }
@@ -362,6 +365,7 @@
       owned: this._partitionHost.served.map(owner => [owner.partition, owner.epoch]),
       documentVersion: this._routes.version,
       cores: this._cores,
+      busyShare: this._loopUtilization.read(),
       reachesWorkers: !this._links.isCutOff,
       logSilenceMs: Math.round(this._clusterView.sinceLogResponseMs),
       load: this._statistics.ownLoad(),
--- a/packages/node/test/node/routed/clusterView.test.ts
+++ b/packages/node/test/node/routed/clusterView.test.ts
@@ -74,7 +74,7 @@
     replies.push(reply)
     return reply
   })
-  node.directory.applyStatus({ type: 'status', from: { ...SELF, node: 'n1' }, periodMs: 60_000, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs: 0, load: {} })
+  node.directory.applyStatus({ type: 'status', from: { ...SELF, node: 'n1' }, periodMs: 60_000, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs: 0, busyShare: 0, load: {} })
   node.log.isDown = true
   await pause(3_000)
   assert.ok(replies.length > 0)
--- a/packages/node/test/node/routed/peerDiscovery.test.ts
+++ b/packages/node/test/node/routed/peerDiscovery.test.ts
@@ -33,7 +33,7 @@
 }
 
 function applyStatus (directory: NodeDirectory, from: NodeAddress): void {
-  directory.applyStatus({ type: 'status', from, periodMs: 60_000, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs: 0, load: {} })
+  directory.applyStatus({ type: 'status', from, periodMs: 60_000, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs: 0, busyShare: 0, load: {} })
 }
 
 async function settle (): Promise<void> {
--- a/packages/node/test/node/routed/peerMesh.test.ts
+++ b/packages/node/test/node/routed/peerMesh.test.ts
@@ -23,7 +23,7 @@
 }
 
 function createStatus (from: NodeAddress): NodeStatus {
-  return { type: 'status', from, periodMs: 200, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs: 0, load: {} }
+  return { type: 'status', from, periodMs: 200, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs: 0, busyShare: 0, load: {} }
 }
 
 test('statuses arrive whole, and all but the first of a connection are small', async () => {
--- a/packages/node/test/node/routed/slotClient.test.ts
+++ b/packages/node/test/node/routed/slotClient.test.ts
@@ -76,7 +76,7 @@
 }
 
 function createStatus (node: string, cores: number): NodeStatus {
-  return { type: 'status', from: createAddress(node), periodMs: 60_000, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores, logSilenceMs: 0, load: {} }
+  return { type: 'status', from: createAddress(node), periodMs: 60_000, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores, logSilenceMs: 0, busyShare: 0, load: {} }
 }
 
 async function requestSlot (time: VirtualTime, node: TestNode, waitMs = 300, priority = 1): Promise<SlotOutcome | undefined> {
--- a/packages/node/test/node/routed/statusCodec.test.ts
+++ b/packages/node/test/node/routed/statusCodec.test.ts
@@ -23,6 +23,7 @@
     documentVersion: fc.nat(),
     logSilenceMs: fc.oneof(fc.nat(60_000), fc.constant(Number.POSITIVE_INFINITY)),
     cores: fc.constantFrom(0.324, 0.675, 1.35),
+    busyShare: fc.nat(100).map(percent => percent / 100),
     owned: fc.array(fc.tuple(fc.nat(12), fc.nat())),
     load: fc.dictionary(fc.string({ minLength: 1 }), fc.nat(64), { noNullPrototype: true }),
     rateLimitedShards: optional(fc.array(fc.string()))
@@ -35,7 +36,7 @@
 })
 
 test('the statuses of a node fit what control may send, at the designed number of nodes', () => {
-  const status: NodeStatus = { type: 'status', from: FROM, periodMs: statusPeriodMs(DESIGNED_PEERS), isReady: true, isDraining: false, owned: [], documentVersion: 1_000, cores: 1.35, logSilenceMs: 87.4, reachesWorkers: true, load: { 'i-9cbb8e0123': 1 } }
+  const status: NodeStatus = { type: 'status', from: FROM, periodMs: statusPeriodMs(DESIGNED_PEERS), isReady: true, isDraining: false, owned: [], documentVersion: 1_000, cores: 1.35, busyShare: 0.123, logSilenceMs: 87.4, reachesWorkers: true, load: { 'i-9cbb8e0123': 1 } }
   const bytes = new Packr({ useRecords: false }).pack({ t: 'u', u: compactStatus(status) }).length
   const bytesPerS = bytes * DESIGNED_PEERS * MS_PER_S / status.periodMs
   assert.ok(bytesPerS <= MAX_BYTES_PER_S, `${bytes} bytes, ${bytesPerS} a second`)
--- a/packages/node/test/node/routed/streamOriginNodes.ts
+++ b/packages/node/test/node/routed/streamOriginNodes.ts
@@ -30,7 +30,7 @@
 }
 
 export function createStatus (node: string, logSilenceMs = 0): NodeStatus {
-  return { type: 'status', from: createAddress(node), periodMs: 1_000_000, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs, load: {} }
+  return { type: 'status', from: createAddress(node), periodMs: 1_000_000, isReady: true, isDraining: false, owned: [], documentVersion: 1, cores: 1, logSilenceMs, busyShare: 0, load: {} }
 }
 
 /** Starts a node in the place of an earlier one of its name; it knows nothing yet but one worker of each of `versions`, if it has read their list. */
