--- a/packages/core/src/common/dispatch/quarantine.ts
+++ b/packages/core/src/common/dispatch/quarantine.ts
@@ -74,7 +74,7 @@
   }
 
   private _addCrash (fingerprint: string, worker: string): void {
-    if (!this._suspectRequests.addCrash(fingerprint, worker, this._clock.nowMs())) return
+    if (!this._suspectRequests.addCrash(fingerprint, { worker, crashedAtMs: this._clock.nowMs() })) return
     this._logger.warn('requestQuarantined', { fingerprint, workers: [...this._suspectRequests.crashedWorkers(fingerprint)].join(',') })
   }
 }
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -22,6 +22,14 @@
   worker: string
   /** Time since the crash, by the sender's clock. */
   agoMs: number
+  /** Time since the request was sent to the worker; absent from nodes that don't tell. */
+  sentAgoMs?: number
+}
+
+/** All crashes that the sender knows of, and the fingerprints of the quarantined requests. */
+export interface CrashReport {
+  crashes: ObservedCrash[]
+  quarantined: string[]
 }
 
 /** Sent to every peer periodically, and early after a change that affects callers. */
@@ -142,6 +150,8 @@
   | { type: 'release', shard: ServiceShard, placementId: string, end: PlacementEnd }
   /** Tells a node that has just started what workers have said. Gets no reply. */
   | { type: 'notices', reports: WorkerNotice[] }
+  /** Tells a node that has just started, or was out of reach, which requests have crashed workers. Gets no reply. */
+  | { type: 'crashReport', report: CrashReport }
   /** Reports what a worker says to its coordinator. Gets no reply. */
   | { type: 'rateLimit', report: WorkerNotice }
   /** Requests a turn from the owner of the program's partition; `isKept` if the turn will be retained. */
--- a/packages/node/src/node/routed/clusterView.ts
+++ b/packages/node/src/node/routed/clusterView.ts
@@ -4,14 +4,15 @@
 import type { ILogClient } from '../../common/routed/logClient.js'
 import type { NodeAddress, PeerReply } from '../../common/routed/routedPeerMessages.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
+import { CrashRecords } from './crashRecords.js'
 import { DocumentCatchUp } from './documentCatchUp.js'
 import type { NodeDirectory } from './nodeDirectory.js'
 import type { PeerMesh } from './peerMesh.js'
 import { TopicSnapshots } from './topicSnapshots.js'
 import { TopicFollower } from './topicFollower.js'
 
-/** Topic in which each node publishes its address under its name. */
-const NODE_TOPIC = 'keyed.nodes'
+/** Topic in which each node publishes its address under its name, and the crashes of workers that it has observed. */
+export const NODE_TOPIC = 'keyed.nodes'
 const ANNOUNCE_RETRY_MS = 300
 const APPEND_TIMEOUT_MS = 1_500
 const TOPIC_QUERY_TIMEOUT_MS = 500
@@ -46,6 +47,8 @@
   registry: IWorkerRegistry
   directory: NodeDirectory
   mesh: PeerMesh
+  /** Takes the records of the node topic that are not addresses. */
+  crashRecords: Pick<CrashRecords, 'apply'>
   random: IRandom
   /** Time since the log last confirmed this node's membership. */
   sinceMembershipConfirmedMs: () => number
@@ -218,7 +221,12 @@
   }
 
   private _applyNodes (records: KeyedRecord[]): void {
-    for (const { value } of records) {
+    for (const record of records) {
+      const { key, value } = record
+      if (CrashRecords.isKey(key)) {
+        this._options.crashRecords.apply(record)
+        continue
+      }
       const address = value === undefined ? undefined : this._decodeNodeAddress(value)
       if (address !== undefined) this._options.directory.add(address)
     }
--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -9,6 +9,7 @@
 import type { RelayServer } from './paths/relayServer.js'
 import type { WorkerLinks } from './paths/workerLinks.js'
 import type { PlacementCoordinator } from './placementCoordinator.js'
+import type { PoisonRequestDetector } from './poisonRequestDetector.js'
 import type { StreamOrigins } from './streamOrigins.js'
 
 const LOOP_DELAY_RESOLUTION_MS = 20
@@ -25,6 +26,7 @@
   coordinator: PlacementCoordinator
   streamOrigins: StreamOrigins
   notices: IWorkerNotices
+  poisonRequestDetector: PoisonRequestDetector
 }
 
 /**
@@ -48,7 +50,7 @@
 
   /** Current values by name. */
   read (): Record<string, number> {
-    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, notices } = this._options
+    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, notices, poisonRequestDetector } = this._options
     const memory = process.memoryUsage()
     const cpu = process.cpuUsage()
     return {
@@ -66,6 +68,9 @@
       calls_served_for_peers: relayServer.openCount,
       leaving_workers: notices.reports(steadyNowMs()).filter(({ isLeaving }) => isLeaving === true).length,
       rate_limited_workers: notices.reports(steadyNowMs()).filter(({ limitPerS }) => limitPerS !== undefined).length,
+      suspect_requests: poisonRequestDetector.suspectCount,
+      quarantined_requests: poisonRequestDetector.quarantinedCount,
+      unrecorded_crashes: poisonRequestDetector.records.waitingCount,
       stream_origins_held: streamOrigins.size,
       placements_open: coordinator.openCount,
       placements_queued: coordinator.queueLength,
--- a/packages/node/src/node/routed/noticeExchange.ts
+++ b/packages/node/src/node/routed/noticeExchange.ts
@@ -41,11 +41,15 @@
 
   /** Tells a peer to which a connection was established; does nothing at all but a few nodes. */
   tell (peer: string): void {
-    const { node, directory, mesh } = this._options
-    const others = directory.alive.map(({ from }) => from.node).filter(name => name !== peer)
-    if (!selectOwners(peer, [...others, node], TELLERS).includes(node)) return
     const reports = this._known
-    if (reports.length > 0) mesh.notify(peer, { type: 'notices', reports })
+    if (reports.length > 0 && this.isTellerOf(peer)) this._options.mesh.notify(peer, { type: 'notices', reports })
+  }
+
+  /** True if this node is among the few that tell a peer which has just started what it has missed. */
+  isTellerOf (peer: string): boolean {
+    const { node, directory } = this._options
+    const others = directory.alive.map(({ from }) => from.node).filter(name => name !== peer)
+    return selectOwners(peer, [...others, node], TELLERS).includes(node)
   }
 
   /** Stores what a peer reports. */
--- a/packages/node/src/node/routed/poisonRequestDetector.ts
+++ b/packages/node/src/node/routed/poisonRequestDetector.ts
@@ -1,82 +1,238 @@
 /** Detects requests that crash the workers which run them, from crashes observed by all nodes, and quarantines them. */
 import { createHash } from 'node:crypto'
-import { type LogFields, ProbeResult, SuspectRequests, type WorkerRegistration } from '@trefoilshunt/core'
-import type { ObservedCrash } from '../../common/routed/routedPeerMessages.js'
+import { type IRandom, type LogFields, ProbeResult, SuspectRequests, type WorkerRegistration } from '@trefoilshunt/core'
+import type { ILogClient } from '../../common/routed/logClient.js'
+import type { CrashReport, ObservedCrash } from '../../common/routed/routedPeerMessages.js'
 import type { RoutedRequest } from '../../common/routed/routedRequest.js'
 import { steadyNowMs } from '../steadyClock.js'
+import { CrashRecords, type RecordedCrash } from './crashRecords.js'
+import { CrashEvidence, type UnansweredRequest, WorkerEndWatch, workerLifetimeOf } from './workerEndWatch.js'
 
 /** A request may be at a worker during two crashes by chance; the requirements limit how many workers it may reach after the third. */
 const CRASHES_TO_QUARANTINE = 3
-/** Crashes of workers closer together than this have another cause than one request and count once. */
+/** Crashes of workers closer together than this may have a common cause other than one request. */
 const SPACING_MS = 500
-/** Crashes that this node observed are reported to its peers for this long. Crashes with a request that was served are ignored for as long. */
+/** Crashes that this node observed are reported to its peers for this long, and longer while the log has not recorded them. */
 const OBSERVATION_RETENTION_MS = 60_000
+const UNRECORDED_RETENTION_MS = 600_000
+const MAX_OBSERVED = 1_000
+/** After two crashes a request is sent to one worker at a time, this long after the latest crash, so that crashes become known before the next try. */
+const SEVERAL_CRASHES_PAUSE_MS = 1_000
+/** Retry-after of quarantined requests; long, because a request that crashes workers should not be repeated soon. */
+const QUARANTINE_RETRY_AFTER_MS = 60_000
+/** A quarantine of which the log has no record is recorded by every node that knows of it, each after a random part of this time. */
+const RECORD_SPREAD_MS = 2_000
+const CHECK_PERIOD_MS = 1_000
 const MAX_SERVED_REQUESTS = 1_000
 
+/** Why a request must not be sent to a worker now. */
+export interface PoisonRefusal {
+  isQuarantined: boolean
+  retryAfterMs: number
+}
+
+/** How a request that a worker has not answered completely was ended. */
+export interface UnansweredAttempt {
+  request: RoutedRequest
+  worker: WorkerRegistration
+  sentAtMs: number
+  /** True if the connection broke, false if the request was given up. */
+  isBroken: boolean
+}
+
 export interface PoisonRequestDetectorOptions {
+  /** Topic in which crashes and quarantines are recorded. */
+  topic: string
+  log: ILogClient
+  random: IRandom
   /** Called when this node has observed a crash, which its peers should learn at once. */
   onCrashObserved: () => void
-  /** Connects to a worker: the address of a crashed one refuses connections for seconds. */
+  /** True if the worker has an entry for this lifetime. */
+  isRegistered: (worker: WorkerRegistration) => boolean
+  /** Connects to a worker: the address of a crashed one may refuse connections for seconds. */
   probe: (worker: WorkerRegistration) => Promise<ProbeResult>
   write: (event: string, fields: LogFields) => void
 }
 
+type Observation = Omit<RecordedCrash, 'sentAtMs'> & { sentAtMs: number }
+
 /**
  * @example
- * const detector = new PoisonRequestDetector({ onCrashObserved, probe, write })
- * if (detector.isQuarantined(request)) refuse()
+ * const detector = new PoisonRequestDetector({ topic, log, random, onCrashObserved, probe, write })
+ * const refusal = detector.findRefusal(request)
  */
 export class PoisonRequestDetector {
   private readonly _suspects = new SuspectRequests({ crashesToQuarantine: CRASHES_TO_QUARANTINE, spacingMs: SPACING_MS })
-  private _observed: Array<Omit<ObservedCrash, 'agoMs'> & { atMs: number }> = []
+  private readonly _watch = new WorkerEndWatch()
+  private readonly _records: CrashRecords
+  private readonly _timer: NodeJS.Timeout
+  private _observed: Observation[] = []
   /** Steady times at which suspect requests were served, by fingerprint. */
   private readonly _servedAtMs = new Map<string, number>()
+  /** Quarantines without a record in the log, with the time at which this node records them. */
+  private readonly _unrecordedQuarantines = new Map<string, number>()
 
-  constructor (private readonly _options: PoisonRequestDetectorOptions) {}
+  constructor (private readonly _options: PoisonRequestDetectorOptions) {
+    const { topic, log, write } = _options
+    this._records = new CrashRecords({
+      topic,
+      log,
+      onCrash: crash => this._addCrash(crash),
+      onCrashRemoved: (fingerprint, worker) => this._suspects.removeCrash(fingerprint, worker),
+      onQuarantine: fingerprint => this._applyQuarantine(fingerprint),
+      onQuarantineRemoved: fingerprint => {
+        this._suspects.release(fingerprint)
+        write('quarantineReleased', { fingerprint })
+      },
+      write
+    })
+    this._timer = setInterval(() => this._recordQuarantines(), CHECK_PERIOD_MS)
+  }
+
+  /** The records that this detector shares with those of other nodes, to be fed from the topic. */
+  get records (): CrashRecords {
+    return this._records
+  }
+
+  get suspectCount (): number {
+    return this._suspects.suspectCount
+  }
 
-  /** Crashes that this node observed in the last minute. */
+  get quarantinedCount (): number {
+    return this._suspects.quarantined.size
+  }
+
+  dispose (): void {
+    clearInterval(this._timer)
+    this._records.stop()
+  }
+
+  /** Crashes that this node observed lately. */
   get observedCrashes (): ObservedCrash[] {
     const nowMs = steadyNowMs()
-    this._observed = this._observed.filter(({ atMs }) => nowMs - atMs < OBSERVATION_RETENTION_MS)
-    return this._observed.map(({ fingerprint, worker, atMs }) => ({ fingerprint, worker, agoMs: Math.round(nowMs - atMs) }))
+    this._observed = this._observed.filter(({ fingerprint, worker, crashedAtMs }) => {
+      const retentionMs = this._records.isCrashRecorded(fingerprint, worker) ? OBSERVATION_RETENTION_MS : UNRECORDED_RETENTION_MS
+      return nowMs - crashedAtMs < retentionMs
+    })
+    return this._observed.map(crash => toObservedCrash(crash, nowMs))
+  }
+
+  /** All that is known, for a peer that has just started or was out of reach; undefined if there is nothing. */
+  get report (): CrashReport | undefined {
+    if (this._suspects.isEmpty) return undefined
+    const nowMs = steadyNowMs()
+    return { crashes: this._suspects.crashes.map(crash => toObservedCrash(crash, nowMs)), quarantined: [...this._suspects.quarantined] }
+  }
+
+  /** Adds what a peer knows. */
+  applyReport ({ crashes, quarantined }: CrashReport): void {
+    this.applyPeerCrashes(crashes)
+    for (const fingerprint of quarantined) this._applyQuarantine(fingerprint)
   }
 
   /** Adds the crashes that a peer observed. */
   applyPeerCrashes (crashes: readonly ObservedCrash[]): void {
-    for (const { fingerprint, worker, agoMs } of crashes) this._addCrash(fingerprint, worker, steadyNowMs() - agoMs)
+    const nowMs = steadyNowMs()
+    for (const { fingerprint, worker, agoMs, sentAgoMs } of crashes) {
+      this._addCrash({ fingerprint, worker, crashedAtMs: nowMs - agoMs, sentAtMs: sentAgoMs === undefined ? undefined : nowMs - sentAgoMs })
+      this._handleEnd(worker, CrashEvidence.PeerReport)
+    }
   }
 
-  /** Handles the loss of a connection to a worker during a request: a crash, if the worker's address refuses connections now. */
-  async handleBrokenRequest (request: RoutedRequest, worker: WorkerRegistration): Promise<void> {
-    if (await this._options.probe(worker) !== ProbeResult.Refused) return
-    const crash = { fingerprint: fingerprintOf(request), worker: `${worker.workerId}@${worker.startedAtMs}`, atMs: steadyNowMs() }
-    this._options.write('workerCrashed', { requestId: request.requestId, worker: worker.workerId, address: worker.address, fingerprint: crash.fingerprint })
-    this._observed.push(crash)
-    this._addCrash(crash.fingerprint, crash.worker, crash.atMs)
-    this._options.onCrashObserved()
+  /** Handles a request that was sent to a worker and got no complete answer: it is suspect if the worker has ended, or turns out to have ended. */
+  async handleUnanswered ({ request, worker, sentAtMs, isBroken }: UnansweredAttempt): Promise<void> {
+    const lifetime = workerLifetimeOf(worker)
+    const unanswered = { fingerprint: fingerprintOf(request), requestId: request.requestId, worker: lifetime, sentAtMs, endedAtMs: steadyNowMs(), isBroken }
+    if (this._options.isRegistered(worker)) this._watch.revive(lifetime)
+    const end = this._watch.add(unanswered)
+    if (end !== undefined) {
+      this._observe({ ...unanswered, endedAtMs: end.atMs }, end.evidence)
+      this._options.onCrashObserved()
+    }
+    if (end !== undefined || !isBroken) return
+    const result = await this._options.probe(worker)
+    if (result === ProbeResult.Refused) this._handleEnd(lifetime, CrashEvidence.ConnectionRefused)
+    else this._options.write('crashNotConfirmed', { requestId: request.requestId, worker: worker.workerId, address: worker.address, probe: result })
+  }
+
+  /** Handles a worker whose entry was removed or has changed; `current` is the entry that there is now. */
+  handleWorkerLost (previous: WorkerRegistration, current: WorkerRegistration | undefined, isPlanned: boolean): void {
+    const lifetime = workerLifetimeOf(previous)
+    if (current !== undefined && current.startedAtMs !== previous.startedAtMs) this._handleEnd(lifetime, CrashEvidence.Restarted)
+    else if (isPlanned) this._watch.forget(lifetime)
+    else if (current === undefined) this._handleEnd(lifetime, CrashEvidence.EntryRemoved)
   }
 
   /** Clears a suspect request, because a worker has served it without a crash. */
   recordServed (request: RoutedRequest): void {
-    if (this._suspects.isEmpty) return
+    if (this._suspects.isEmpty && this._watch.isEmpty) return
     const fingerprint = fingerprintOf(request)
+    this._watch.removeServed(fingerprint)
     if (!this._suspects.clear(fingerprint)) return
     this._observed = this._observed.filter(crash => crash.fingerprint !== fingerprint)
+    this._records.removeCrashes(fingerprint)
+    this._servedAtMs.delete(fingerprint)
     this._servedAtMs.set(fingerprint, steadyNowMs())
     if (this._servedAtMs.size > MAX_SERVED_REQUESTS) this._servedAtMs.delete(this._servedAtMs.keys().next().value as string)
+    this._options.write('requestCleared', { requestId: request.requestId, fingerprint })
+  }
+
+  /** Why the request must not be sent to a worker now; undefined if it may be sent. */
+  findRefusal (request: RoutedRequest): PoisonRefusal | undefined {
+    if (this._suspects.isEmpty) return undefined
+    const fingerprint = fingerprintOf(request)
+    if (this._suspects.isQuarantined(fingerprint)) return { isQuarantined: true, retryAfterMs: QUARANTINE_RETRY_AFTER_MS }
+    const latestMs = this._suspects.latestOfSeveralCrashes(fingerprint)
+    const pauseLeftMs = latestMs === undefined ? 0 : latestMs + SEVERAL_CRASHES_PAUSE_MS - steadyNowMs()
+    return pauseLeftMs > 0 ? { isQuarantined: false, retryAfterMs: pauseLeftMs } : undefined
   }
 
-  /** True if the request must not be sent to any worker. */
-  isQuarantined (request: RoutedRequest): boolean {
-    return !this._suspects.isEmpty && this._suspects.isQuarantined(fingerprintOf(request))
+  /** True if a worker has crashed under the request, which may be its cause or not. */
+  isSuspect (request: RoutedRequest): boolean {
+    return !this._suspects.isEmpty && this._suspects.isSuspect(fingerprintOf(request), steadyNowMs())
   }
 
-  private _addCrash (fingerprint: string, worker: string, atMs: number): void {
+  private _handleEnd (lifetime: string, evidence: CrashEvidence): void {
+    const requests = this._watch.end(lifetime, evidence)
+    for (const request of requests) this._observe(request, evidence)
+    if (requests.length > 0) this._options.onCrashObserved()
+  }
+
+  private _observe ({ fingerprint, requestId, worker, sentAtMs, endedAtMs, isBroken }: UnansweredRequest, evidence: CrashEvidence): void {
+    const crash = { fingerprint, worker, crashedAtMs: endedAtMs, sentAtMs }
+    this._options.write('workerCrashed', { requestId, worker, fingerprint, evidence, isBroken, agoMs: Math.round(steadyNowMs() - endedAtMs) })
+    this._observed.push(crash)
+    if (this._observed.length > MAX_OBSERVED) this._observed.shift()
+    this._addCrash(crash)
+    this._records.recordCrash(crash)
+  }
+
+  private _addCrash ({ fingerprint, ...crash }: RecordedCrash): void {
     const servedAtMs = this._servedAtMs.get(fingerprint)
-    if (servedAtMs !== undefined && steadyNowMs() - servedAtMs < OBSERVATION_RETENTION_MS) return
-    if (!this._suspects.addCrash(fingerprint, worker, atMs)) return
+    if (servedAtMs !== undefined && crash.crashedAtMs <= servedAtMs) return
+    if (!this._suspects.addCrash(fingerprint, crash)) return
     this._options.write('requestQuarantined', { fingerprint, workers: [...this._suspects.crashedWorkers(fingerprint)].join() })
+    this._unrecordedQuarantines.set(fingerprint, steadyNowMs() + this._options.random.next() * RECORD_SPREAD_MS)
   }
+
+  private _applyQuarantine (fingerprint: string): void {
+    if (!this._suspects.quarantine(fingerprint)) return
+    this._options.write('requestQuarantined', { fingerprint, workers: '' })
+    this._unrecordedQuarantines.set(fingerprint, steadyNowMs() + this._options.random.next() * RECORD_SPREAD_MS)
+  }
+
+  private _recordQuarantines (): void {
+    const nowMs = steadyNowMs()
+    for (const [fingerprint, dueMs] of this._unrecordedQuarantines) {
+      if (nowMs < dueMs) continue
+      this._unrecordedQuarantines.delete(fingerprint)
+      if (!this._records.isQuarantineRecorded(fingerprint)) this._records.recordQuarantine(fingerprint)
+    }
+  }
+}
+
+function toObservedCrash ({ fingerprint, worker, crashedAtMs, sentAtMs }: RecordedCrash, nowMs: number): ObservedCrash {
+  return { fingerprint, worker, agoMs: Math.round(nowMs - crashedAtMs), sentAgoMs: sentAtMs === undefined ? undefined : Math.round(nowMs - sentAtMs) }
 }
 
 /** Equal for a repeated request, whatever its id: hashes the caller's address, method, host, path and body. */
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -19,8 +19,8 @@
 const OWNER_RETRY_AFTER_MS = 300
 /** Retry-after while it isn't known which software version began the caller's stream, for example while peers that know it reconnect. */
 const ORIGIN_RETRY_AFTER_MS = 300
-/** Retry-after of quarantined requests; long, because a request that crashes workers should not be repeated soon. */
-const QUARANTINE_RETRY_AFTER_MS = 60_000
+/** A worker's answer from this status on is no evidence that the request does no harm. */
+const FIRST_SERVER_ERROR_STATUS = 500
 /** Share of the remaining time for which a request may wait for the owner of its program. */
 const GRANT_WAIT_SHARE = 0.4
 /** The end of a retained turn must be recorded this long before the request expires, so that its answer can still be completed. */
@@ -144,15 +144,14 @@
   }
 
   private _startAttempt (): void {
-    if (this._dependencies.poisonRequestDetector.isQuarantined(this._request)) {
-      this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'the request crashed several workers', RefusalReason.Quarantined)
-      return
-    }
+    if (this._refusePoison()) return
     const state = { cached: this._grant?.cached ?? [], excluded: this._excluded, hasBegun: this._hasBegun, timeLeftMs: this._timeLeftMs, origin: this._stream.origin }
     this._selector.select(state, selection => {
       const next: NextAction = { type: this._mayHaveRun ? 'unknown' : 'notRun' }
       switch (selection.type) {
         case 'selected':
+          // The request may have been quarantined while it waited for a slot.
+          if (this._refusePoison()) return selection.release?.({})
           this._service = selection.service
           return this._send(selection.worker, selection.release)
         case 'refused': return this._endWithoutAnswer(next, 'no worker can take the request in time', RefusalReason.Overloaded, selection.retryAfterMs)
@@ -162,6 +161,15 @@
     })
   }
 
+  /** Ends the request if it has crashed several workers; false if it may be sent. */
+  private _refusePoison (): boolean {
+    const refusal = this._dependencies.poisonRequestDetector.findRefusal(this._request)
+    if (refusal === undefined) return false
+    const detail = refusal.isQuarantined ? 'the request crashed several workers' : 'the request may have crashed several workers'
+    this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, detail, RefusalReason.Quarantined, refusal.retryAfterMs)
+    return true
+  }
+
   private _send (worker: WorkerRegistration, release?: (end: PlacementEnd) => void): void {
     const { nodeCount, statistics, loadAgeMs } = this._dependencies
     this._believedInFlight = statistics.inFlightOf(worker.workerId)
@@ -187,8 +195,8 @@
     this._latestAttempt = new WorkerAttempt({
       dependencies: this._dependencies,
       route: this._route,
+      request,
       worker,
-      prompt: request.prompt,
       onReleased: release,
       call: createWorkerCall({
         request,
@@ -242,7 +250,7 @@
     }
     this._sentCount++
     this._latestAttempt?.recordAnswer(this._relay.status, Math.max(1, this._relay.eventCount))
-    this._dependencies.poisonRequestDetector.recordServed(this._request)
+    if (this._relay.status < FIRST_SERVER_ERROR_STATUS) this._dependencies.poisonRequestDetector.recordServed(this._request)
     this._relay.endAttempt(() => {
       if (this._relay.isStream && this._grant !== undefined) {
         void this._finishTurn()
@@ -283,7 +291,6 @@
     else this._sentCount++
     if (attemptOutcome === AttemptOutcome.Unknown) this._mayHaveRun = true
     if (worker !== undefined) this._excluded.add(worker.workerId)
-    if (worker !== undefined && attemptOutcome === AttemptOutcome.Unknown) void this._dependencies.poisonRequestDetector.handleBrokenRequest(this._request, worker)
     this._dependencies.metrics.count('attempts_failed_total', { fate: attemptOutcome })
     if (attemptOutcome === AttemptOutcome.Refused && worker !== undefined) {
       this._dependencies.metrics.count('worker_refusals_total', { belief: this._believedInFlight < worker.slots ? 'free' : 'full' })
@@ -292,7 +299,9 @@
     // Events held back until the reservation is recorded are forwarded first: the next attempt resumes after the last forwarded event.
     this._relay.whenForwarding(() => {
       if (this._isDone) return
-      const next = resolveNextAction(attemptOutcome, { route: this._route, sentCount: this._sentCount, unsentCount: this._unsentCount, mayHaveRun: this._mayHaveRun, hasAnswerBegun: this._relay.hasBegun, isAnswerContinuable: this._relay.isContinuable, timeLeftMs: this._timeLeftMs })
+      // A request that may have crashed workers before is not repeated beside sound ones.
+      const isSuspect = attemptOutcome === AttemptOutcome.Unknown && this._dependencies.poisonRequestDetector.isSuspect(this._request)
+      const next: NextAction = isSuspect ? { type: 'unknown' } : resolveNextAction(attemptOutcome, { route: this._route, sentCount: this._sentCount, unsentCount: this._unsentCount, mayHaveRun: this._mayHaveRun, hasAnswerBegun: this._relay.hasBegun, isAnswerContinuable: this._relay.isContinuable, timeLeftMs: this._timeLeftMs })
       this._log('attemptFailed', { worker: worker?.workerId, fate: attemptOutcome, detail, next: next.type, sent: this._sentCount })
       this._applyNextAction(next, detail, reason)
     })
@@ -309,7 +318,7 @@
     if (this._isDone) return
     this._reportTurnEnd(this._usedTokens)
     if (this._relay.hasBegun) this._abort(detail)
-    else if (next.type === 'notRun') this._refuse({ status: 503, reason, retryAfterMs: reason === RefusalReason.Quarantined ? QUARANTINE_RETRY_AFTER_MS : retryAfterMs }, detail)
+    else if (next.type === 'notRun') this._refuse({ status: 503, reason, retryAfterMs }, detail)
     else this._refuse({ status: 502, reason: RefusalReason.OutcomeUnknown }, detail)
   }
 
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -12,7 +12,7 @@
 import { LoopUtilization } from '../loopUtilization.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
 import { PoisonRequestDetector } from './poisonRequestDetector.js'
-import { type IRoutedCodec, ClusterView } from './clusterView.js'
+import { type IRoutedCodec, ClusterView, NODE_TOPIC } from './clusterView.js'
 import { NodeDirectory } from './nodeDirectory.js'
 import { NoticeExchange } from './noticeExchange.js'
 import { NodeGauges } from './nodeGauges.js'
@@ -142,6 +142,7 @@
         write('peerConnected', { peer })
         this._discovery.handleConnected(peer)
         this._noticeExchange.tell(peer)
+        this._tellCrashes(peer)
       },
       onDisconnected: (peer, detail) => {
         write('peerLost', { peer, detail })
@@ -165,7 +166,15 @@
       onChanged: () => this._statusBroadcast.send(),
       write
     })
-    this._poisonRequestDetector = new PoisonRequestDetector({ onCrashObserved: () => this._statusBroadcast.send(), probe: async worker => await gateway.probe(worker), write })
+    this._poisonRequestDetector = new PoisonRequestDetector({
+      topic: NODE_TOPIC,
+      log,
+      random: container.resolve<IRandom>(IRandom),
+      onCrashObserved: () => this._statusBroadcast.send(),
+      isRegistered: ({ workerId, startedAtMs }) => this._registry.find(workerId)?.startedAtMs === startedAtMs,
+      probe: async worker => await gateway.probe(worker),
+      write
+    })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._partitionHost, mesh: this._mesh, directory: this._directory, write })
     this._coordinator = new PlacementCoordinator({ routes: this._routes, registry: this._registry, statistics: this._statistics, notices: this._notices, otherCoordinatorCount: key => this._directory.coordinatorCount(key), random: container.resolve<IRandom>(IRandom), write })
     const { documentTopic, documentKey, workerTopic, codec } = _options
@@ -184,6 +193,7 @@
       registry: this._registry,
       directory: this._directory,
       mesh: this._mesh,
+      crashRecords: this._poisonRequestDetector.records,
       sinceMembershipConfirmedMs: () => this._partitionHost.sinceLastJoinMs,
       write: (level, event, fields) => this._write(level, event, fields)
     })
@@ -218,6 +228,7 @@
     const ownRates = new OwnRates({ notices: this._notices, nodeCount: () => this._directory.size + 1, random: container.resolve<IRandom>(IRandom) })
     this._registry.onDidLoseWorker(worker => {
       const { workerId, address } = worker
+      this._poisonRequestDetector.handleWorkerLost(worker, this._registry.find(workerId), worker.isDraining || this._notices.isLeaving(worker))
       this._statistics.removeWorker(workerId)
       this._coordinator.removeWorker(workerId)
       if (this._registry.find(workerId)?.startedAtMs !== worker.startedAtMs) this._notices.removeWorker(workerId)
@@ -226,7 +237,7 @@
       this._links.removeWorker(worker)
       write('workerLost', { worker: workerId, address, isDraining: this._registry.find(workerId)?.isDraining })
     })
-    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, notices: this._notices })
+    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, notices: this._notices, poisonRequestDetector: this._poisonRequestDetector })
     this._callDependencies = {
       zone,
       notices: this._notices,
@@ -328,6 +339,7 @@
     this._clusterView.stop()
     this._partitionHost.close()
     this._coordinator.dispose()
+    this._poisonRequestDetector.dispose()
     this._streamOrigins.dispose()
     await Promise.all([this._mesh.close(), this._links.close(), this._options.log.close()])
   }
@@ -348,7 +360,16 @@
     return this._options.cores ?? 1
   }
 
+  /** Tells a peer to which a connection was established which requests have crashed workers; does nothing at all but a few nodes. */
+  private _tellCrashes (peer: string): void {
+    if (!this._noticeExchange.isTellerOf(peer)) return
+    const { report } = this._poisonRequestDetector
+    if (report !== undefined) this._mesh.notify(peer, { type: 'crashReport', report })
+  }
+
   private _removeInactive (): void {
+    // One node is enough to remove records for all.
+    if (this._directory.alive.every(({ from }) => from.node > this._self.node)) this._poisonRequestDetector.records.removeExpired()
     this._directory.removeInactive()
     this._noticeExchange.removeInactive()
   }
@@ -391,6 +412,7 @@
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
       case 'rateLimit': return this._noticeExchange.apply([request.report])
       case 'notices': return this._noticeExchange.apply(request.reports)
+      case 'crashReport': return this._poisonRequestDetector.applyReport(request.report)
       case 'topic': return respond(this._clusterView.answerTopic(request.topic, request.knownDigest), true)
     }
   }
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -1,6 +1,7 @@
 /** One attempt to have a worker run a request; updates the worker's statistics with its result. */
-import { AttemptOutcome, type PlacementEnd, type PromptPart, type Route, type WorkerRegistration } from '@trefoilshunt/core'
+import { AttemptOutcome, type PlacementEnd, type Route, type WorkerRegistration } from '@trefoilshunt/core'
 import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerCall } from '../../common/routed/workerClient.js'
+import type { RoutedRequest } from '../../common/routed/routedRequest.js'
 import { steadyNowMs } from '../steadyClock.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
 
@@ -13,9 +14,9 @@
 
 export interface WorkerAttemptOptions {
   dependencies: RoutedCallDependencies
+  request: RoutedRequest
   route: Route
   worker: WorkerRegistration
-  prompt: readonly PromptPart[]
   call: WorkerCall
   /** Called once when the attempt has ended. */
   onReleased?: (end: PlacementEnd) => void
@@ -27,7 +28,7 @@
  * call `recordAnswer` or `rejectAnswer`.
  *
  * @example
- * const attempt = new WorkerAttempt({ dependencies, route, worker, prompt, call, listener })
+ * const attempt = new WorkerAttempt({ dependencies, request, route, worker, call, listener })
  * attempt.cancel()
  */
 export class WorkerAttempt {
@@ -38,7 +39,7 @@
   private _failureSeverity = 0
 
   constructor (private readonly _options: WorkerAttemptOptions) {
-    const { dependencies, route, worker, prompt, call, listener } = _options
+    const { dependencies, request: { prompt }, route, worker, call, listener } = _options
     dependencies.statistics.beginRequest(worker.workerId)
     dependencies.statistics.recordPrompt(worker.workerId, prompt)
     const noResponseMs = Math.max(NO_RESPONSE_MS, NO_RESPONSE_DURATIONS * dependencies.durations.expectedMs(route))
@@ -70,8 +71,10 @@
   /** Aborts an open call; no method of the listener is called afterwards. */
   cancel (): void {
     if (this._openCall === undefined) return
+    const { isSent } = this._openCall
     this._openCall.abort()
     this._openCall = undefined
+    if (isSent) this._reportUnanswered(false)
     this._end()
   }
 
@@ -125,10 +128,16 @@
     } else {
       this._recordFailure(outcome === AttemptOutcome.Refused ? ANSWERED_SEVERITY : 1)
     }
+    if (outcome === AttemptOutcome.Unknown) this._reportUnanswered(true)
     this._end()
     listener.onFailed(outcome, failure.detail)
   }
 
+  private _reportUnanswered (isBroken: boolean): void {
+    const { dependencies: { poisonRequestDetector }, request, worker } = this._options
+    void poisonRequestDetector.handleUnanswered({ request, worker, sentAtMs: this._startedMs, isBroken })
+  }
+
   private _end (durationRatio?: number): void {
     clearTimeout(this._noResponseTimer)
     this._options.dependencies.statistics.endRequest(this.worker.workerId, durationRatio)
--- a/packages/node/test/node/routed/clusterView.test.ts
+++ b/packages/node/test/node/routed/clusterView.test.ts
@@ -46,6 +46,7 @@
     registry: container.resolve<IWorkerRegistry>(IWorkerRegistry),
     directory,
     mesh: mesh as unknown as PeerMesh,
+    crashRecords: { apply: () => {} },
     sinceMembershipConfirmedMs: () => 0,
     write: () => {}
   })
