--- a/packages/node/src/node/routed/clusterView.ts
+++ b/packages/node/src/node/routed/clusterView.ts
@@ -7,7 +7,7 @@
 import { CrashRecords } from './crashRecords.js'
 import { DocumentCatchUp } from './documentCatchUp.js'
 import type { NodeDirectory } from './nodeDirectory.js'
-import type { PeerMesh } from './peerMesh.js'
+import { isSocketAddress, type PeerMesh } from './peerMesh.js'
 import { TopicSnapshots } from './topicSnapshots.js'
 import { TopicFollower } from './topicFollower.js'
 
@@ -236,12 +236,13 @@
     try {
       const fields = this._packr.unpack(value) as Partial<NodeAddress>
       const { node, incarnation, peerAddress, callerAddress, zone } = fields
-      if ([node, incarnation, peerAddress, callerAddress, zone].some(field => typeof field !== 'string')) return undefined
-      return fields as NodeAddress
+      const isComplete = [node, incarnation, peerAddress, callerAddress, zone].every(field => typeof field === 'string')
+      if (isComplete && isSocketAddress(peerAddress as string)) return fields as NodeAddress
     } catch {
-      this._write('warn', 'nodeRecordUnreadable', { bytes: value.length })
-      return undefined
+      // Reported below, like a record of another shape.
     }
+    this._write('warn', 'nodeRecordUnreadable', { bytes: value.length })
+    return undefined
   }
 
   /** Writes this node's address to the log; retries until that has succeeded or `stop` was called. */
--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -1,5 +1,5 @@
 /** Connections between the nodes: every node opens a connection to every other node and sends its status and requests over it. */
-import { createConnection, createServer, type Server, type Socket } from 'node:net'
+import { createConnection, createServer, isIPv4, type Server, type Socket } from 'node:net'
 import { Emitter, type Event } from '@trefoilshunt/core'
 import { Packr } from 'msgpackr'
 import type { NodeAddress, NodeStatus, PeerReply, PeerRequest } from '../../common/routed/routedPeerMessages.js'
@@ -317,6 +317,20 @@
   }
 }
 
+const MAX_PORT = 65_535
+
+/**
+ * True for `host:port` with an IPv4 address and a port to which a connection may be opened.
+ *
+ * @example
+ * isSocketAddress('10.2.64.41:8669') // true
+ * isSocketAddress('10.2.64.41:99999') // false
+ */
+export function isSocketAddress (address: string): boolean {
+  const { host, port } = splitAddress(address)
+  return isIPv4(host) && /:\d+$/.test(address) && port >= 1 && port <= MAX_PORT
+}
+
 /** Splits `host:port`. */
 export function splitAddress (address: string): { host: string, port: number } {
   const separatorIndex = address.lastIndexOf(':')
--- a/packages/node/src/node/routed/topicFollower.ts
+++ b/packages/node/src/node/routed/topicFollower.ts
@@ -146,7 +146,7 @@
     for (const record of result.records) {
       if (record.value === undefined) this._content.delete(record.key)
       else this._content.set(record.key, record.value)
-      this._options.onRecord(record)
+      this._deliver(() => this._options.onRecord(record))
     }
     return true
   }
@@ -164,7 +164,16 @@
       if (value !== undefined) this._content.set(key, value)
     }
     this._hasContent = true
-    this._options.onContent(records)
+    this._deliver(() => this._options.onContent(records))
+  }
+
+  /** An error of a handler must not end the following of the topic. */
+  private _deliver (handle: () => void): void {
+    try {
+      handle()
+    } catch (error) {
+      this._options.write('topicHandlerFailed', { topic: this._options.topic, detail: error instanceof Error ? error.stack : String(error) })
+    }
   }
 
   private _updateReachable (isReachable: boolean): void {
