--- a/packages/node/src/common/routed/routedRequest.ts
+++ b/packages/node/src/common/routed/routedRequest.ts
@@ -62,6 +62,8 @@
   NoSuchTurn: 'noSuchTurn',
   Overloaded: 'overloaded',
   Quarantined: 'quarantined',
+  /** The node stops, and the request may last longer than its grace period. */
+  Stopping: 'stopping',
   /** The software version that began the stream is not known, or has no worker. */
   StreamOriginUnavailable: 'streamOriginUnavailable',
   OutcomeUnknown: 'fateUnknown',
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -7,6 +7,7 @@
 import { steadyNowMs } from '../steadyClock.js'
 import { AnswerRelay } from './answerRelay.js'
 import { createWorkerCall } from './createWorkerCall.js'
+import type { IStoppableCall } from './plannedStop.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
 import { StreamContinuation } from './streamContinuation.js'
 import type { GrantedTurn, GrantOutcome } from './turnService.js'
@@ -21,6 +22,8 @@
 const ORIGIN_RETRY_AFTER_MS = 300
 /** A worker's answer from this status on is no evidence that the request does no harm. */
 const FIRST_SERVER_ERROR_STATUS = 500
+/** Retry-after of requests that a stopping node refuses; other nodes serve them at once. */
+const STOPPING_RETRY_AFTER_MS = 20
 /** Share of the remaining time for which a request may wait for the owner of its program. */
 const GRANT_WAIT_SHARE = 0.4
 /** The end of a retained turn must be recorded this long before the request expires, so that its answer can still be completed. */
@@ -29,13 +32,14 @@
 const LATE_TURN_END_TIMEOUT_MS = 8_000
 
 /** One routed request; `start` is called once. After that, the sink gets exactly one `end`, `refuse` or `abort`, or none if the caller disconnects first. */
-export class RoutedCall {
+export class RoutedCall implements IStoppableCall {
   private readonly _expiresAtMs: number
   private readonly _excluded = new Set<string>()
   private readonly _relay: AnswerRelay
   private readonly _selector: WorkerSelector
   private readonly _stream: StreamContinuation
   private _expiryTimer: NodeJS.Timeout | undefined
+  private _unregister: () => void = () => {}
   private _service: RoutedService | undefined
   private _grant: GrantedTurn | undefined
   private _latestAttempt: WorkerAttempt | undefined
@@ -65,6 +69,12 @@
   }
 
   start (): void {
+    const { plannedStop } = this._dependencies
+    if (!plannedStop.mayAccept(this._expiresAtMs)) {
+      this._refuse({ status: 503, reason: RefusalReason.Stopping, retryAfterMs: STOPPING_RETRY_AFTER_MS })
+      return
+    }
+    this._unregister = plannedStop.register(this)
     this._sink.onCallerDisconnected = () => this._onCallerDisconnected()
     this._expiryTimer = setTimeout(() => this._expire(), Math.max(0, this._timeLeftMs))
     if (this._stream.isTakenUp) void this._resolveOrigin()
@@ -322,15 +332,19 @@
     else this._refuse({ status: 502, reason: RefusalReason.OutcomeUnknown }, detail)
   }
 
-  private _expire (): void {
+  endForStop (): void {
+    this._expire(RefusalReason.Stopping)
+  }
+
+  private _expire (reason: RefusalReason = RefusalReason.TimedOut): void {
     if (this._isDone) return
     const mayHaveRun = this._mayHaveRun || this._isAttemptOpen || this._relay.hasHead
     if (this._relay.hasHead && !this._relay.isBackpressured) this._latestAttempt?.cancelUnfinished()
     else this._latestAttempt?.cancel()
     this._reportTurnEnd(this._usedTokens)
-    if (this._relay.hasBegun) this._abort('timed out')
-    else if (mayHaveRun) this._refuse({ status: 504, reason: RefusalReason.TimedOut })
-    else this._refuse({ status: 503, reason: RefusalReason.TimedOut, retryAfterMs: BUSY_RETRY_AFTER_MS })
+    if (this._relay.hasBegun) this._abort(reason)
+    else if (mayHaveRun) this._refuse({ status: 504, reason })
+    else this._refuse({ status: 503, reason, retryAfterMs: BUSY_RETRY_AFTER_MS })
   }
 
   private _onCallerDisconnected (): void {
@@ -383,6 +397,7 @@
 
   private _endCall (outcome: string, status: number, reason?: string, detail?: string): void {
     this._isDone = true
+    this._unregister()
     this._selector.cancel()
     this._relay.stop()
     clearTimeout(this._expiryTimer)
--- a/packages/node/src/node/routed/routedCallDependencies.ts
+++ b/packages/node/src/node/routed/routedCallDependencies.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from '../../common/metrics.js'
 import type { OwnRates } from './ownRates.js'
 import type { IWorkerCaller } from './paths/workerGateway.js'
+import type { PlannedStop } from './plannedStop.js'
 import type { PoisonRequestDetector } from './poisonRequestDetector.js'
 import type { WorkerNoticeReporter } from './workerNoticeReporter.js'
 import type { RouteDurations } from './routeDurations.js'
@@ -29,6 +30,7 @@
   turns: TurnService
   poisonRequestDetector: PoisonRequestDetector
   metrics: Metrics
+  plannedStop: PlannedStop
   /** Number of live nodes, among which the connections to a worker are divided. */
   nodeCount: () => number
   /** Mean age of the peers' load reports. */
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -22,6 +22,7 @@
 import { WorkerGateway } from './paths/workerGateway.js'
 import { WorkerLinks } from './paths/workerLinks.js'
 import { PartitionHost } from './partitionHost.js'
+import { MIN_DRAIN_MS, PlannedStop } from './plannedStop.js'
 import { PeerDiscovery } from './peerDiscovery.js'
 import { PeerMesh, type PeerRequester, type PeerResponder } from './peerMesh.js'
 import { PlacementCoordinator } from './placementCoordinator.js'
@@ -34,13 +35,13 @@
 import { StreamOrigins } from './streamOrigins.js'
 import { TurnService } from './turnService.js'
 
-/** A stopping node accepts new requests for at least this long, because callers use an old list of addresses for that time. */
-const MIN_DRAIN_MS = 3_000
 const STOP_POLL_MS = 20
 /** Time for the records of its partitions to reach the log when a node stops. */
 const FLUSH_TIMEOUT_MS = 1_500
 /** Reserved for the last steps of a stop before the platform kills the process. */
 const STOP_MARGIN_MS = 700
+/** Of these, the time in which the answers of the last requests reach their callers. */
+const LAST_ANSWERS_MS = 200
 const CLEANUP_PERIOD_MS = 10_000
 
 export interface RoutedDaemonOptions {
@@ -104,7 +105,7 @@
   private readonly _loopUtilization = new LoopUtilization()
   private _cleanupTimer: NodeJS.Timeout | undefined
   private _openRequestCount = 0
-  private _isDraining = false
+  private readonly _plannedStop = new PlannedStop()
   private _isStopped = false
 
   constructor (private readonly _options: RoutedDaemonOptions) {
@@ -254,6 +255,7 @@
       turns: this._turns,
       poisonRequestDetector: this._poisonRequestDetector,
       metrics: this.metrics,
+      plannedStop: this._plannedStop,
       nodeCount: () => this._directory.alive.length + 1,
       loadAgeMs: () => this._directory.meanStatusAgeMs,
       isDocumentFresh: () => this._clusterView.isDocumentFresh,
@@ -268,11 +270,11 @@
 
   /** True while callers should be directed to this node. */
   get isReady (): boolean {
-    return !this._isDraining && this._routes.version > 0 && this._clusterView.hasWorkers && !this._partitionHost.isIsolated
+    return !this.isDraining && this._routes.version > 0 && this._clusterView.hasWorkers && !this._partitionHost.isIsolated
   }
 
   get isDraining (): boolean {
-    return this._isDraining
+    return this._plannedStop.hasBegun
   }
 
   /** Rejects if the peer address can't be bound. */
@@ -313,10 +315,10 @@
 
   /** Drains this node for a planned stop: resolves after at least 3 s, when no request is open and the partitions are handed over, or shortly before the grace period ends. Then call `close`. */
   async stop (): Promise<void> {
-    if (this._isDraining) return
-    this._isDraining = true
+    if (this.isDraining) return
     const startedMs = steadyNowMs()
     const endMs = startedMs + this._options.stopGraceMs - STOP_MARGIN_MS
+    this._plannedStop.begin(endMs)
     this._write('info', 'stopBegun', { openRequests: this._openRequestCount, partitions: this._partitionHost.served.length })
     this._statusBroadcast.send()
     const handover = this._partitionHost.stop(FLUSH_TIMEOUT_MS)
@@ -324,8 +326,10 @@
       if (steadyNowMs() - startedMs > MIN_DRAIN_MS && this._openRequestCount === 0) break
       await delay(STOP_POLL_MS)
     }
+    const endedCalls = this._plannedStop.endCalls()
+    if (endedCalls > 0) await delay(LAST_ANSWERS_MS)
     await Promise.race([handover, delay(Math.max(0, endMs - steadyNowMs()))])
-    this._write('info', 'stopEnded', { openRequests: this._openRequestCount, tookMs: Math.round(steadyNowMs() - startedMs) })
+    this._write('info', 'stopEnded', { openRequests: this._openRequestCount, endedCalls, tookMs: Math.round(steadyNowMs() - startedMs) })
   }
 
   /** Closes all connections and timers at once, without a handover. */
@@ -348,7 +352,7 @@
   renderMetrics (): string {
     return this.metrics.render({
       ready: Number(this.isReady),
-      draining: Number(this._isDraining),
+      draining: Number(this.isDraining),
       open_requests: this._openRequestCount,
       document_version: this._routes.version,
       busy_share: this._loopUtilization.read(),
@@ -382,7 +386,7 @@
       type: 'status',
       from: this._self,
       isReady: this.isReady,
-      isDraining: this._isDraining,
+      isDraining: this.isDraining,
       owned: this._partitionHost.served.map(owner => [owner.partition, owner.epoch]),
       documentVersion: this._routes.version,
       cores: this._cores,
