A node that is out of step continues no stream on the word of its own list alone (ORDER)

Report of other operators: during a release, streams that had begun at workers of a new version were taken up at a machine that had been cut off from the others, or had stood still, and went on at a worker of another version. Here: a node that heard no peer asked none and trusted its own list if the log had answered a read within 3.5 s, long enough for a version to join; with peers that had all started lately, their view of another version did not count. Without a reply of a peer a node now continues such a stream only if the log confirms, after the request, that it has read all changes; any view of another version counts. streamOrigins: three new tests failed before (v1 where the stream may have begun at v2), none now.

--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -177,7 +177,7 @@
   | GrantReply
   | EndReply
   | PlaceReply
-  /** `origin` is absent if the peer does not know it. `version` is that of the service's workers if there is a single one. */
+  /** `origin` is absent if the peer does not know it. `version` is that of the service's workers if the node sees a single one. */
   | { type: 'streamOrigin', origin?: StreamOrigin, versions: VersionKnowledge, version?: string }
   /** `chain` is absent if the turn was not found; `partitions` are those that were searched by their confirmed owner. */
   | { type: 'chain', chain?: RetainedTurn[], partitions: number[] }
--- a/packages/node/src/node/routed/clusterView.ts
+++ b/packages/node/src/node/routed/clusterView.ts
@@ -16,6 +16,8 @@
 const ANNOUNCE_RETRY_MS = 300
 const APPEND_TIMEOUT_MS = 1_500
 const TOPIC_QUERY_TIMEOUT_MS = 500
+/** A caller waits for this. */
+const CONFIRM_TIMEOUT_MS = 250
 /** A document of thousands of routes takes most of this over a slow link. */
 const DOCUMENT_QUERY_TIMEOUT_MS = 1_500
 /** Bytes of topics that a node sends to peers: less than a slow link carries, so that what callers wait for still passes. */
@@ -106,6 +108,11 @@
     return this._workerFollower.sinceLastReadMs
   }
 
+  /** True if the log confirms that this node has read all changes of the list of workers. */
+  async confirmWorkers (): Promise<boolean> {
+    return await this._workerFollower.confirmRead(CONFIRM_TIMEOUT_MS)
+  }
+
   /** True while the log tells which nodes there are. */
   get isNodeListRead (): boolean {
     return this._nodeFollower.content !== undefined && !this._nodeFollower.isFailing
--- a/packages/node/src/node/routed/crashRecords.ts
+++ b/packages/node/src/node/routed/crashRecords.ts
@@ -6,6 +6,8 @@
 
 const CRASH_PREFIX = 'crash/'
 const QUARANTINE_PREFIX = 'quarantine/'
+/** Records of one crash come together; each append wakes the readers of all nodes. */
+const LINGER_MS = 250
 const APPEND_TIMEOUT_MS = 1_500
 const MIN_RETRY_MS = 200
 const MAX_RETRY_MS = 1_000
@@ -172,6 +174,7 @@
   private async _appendWaiting (): Promise<void> {
     const { log, topic, write } = this._options
     this._isAppending = true
+    await delay(LINGER_MS)
     let retryMs = MIN_RETRY_MS
     while (this._waiting.size > 0 && !this._isStopped) {
       const records = [...this._waiting.values()].slice(0, RECORDS_PER_APPEND)
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -224,6 +224,7 @@
       mesh: this._mesh,
       listKnownForMs: () => this._clusterView.workersKnownForMs,
       listSilenceMs: () => this._clusterView.workersSilenceMs,
+      confirmList: async () => await this._clusterView.confirmWorkers(),
       write
     })
     const ownRates = new OwnRates({ notices: this._notices, nodeCount: () => this._directory.size + 1, random: container.resolve<IRandom>(IRandom) })
--- a/packages/node/src/node/routed/streamOrigins.ts
+++ b/packages/node/src/node/routed/streamOrigins.ts
@@ -28,6 +28,8 @@
   listKnownForMs: () => number | undefined
   /** Time since the list of workers was last read from the log. */
   listSilenceMs: () => number
+  /** True if the log confirms, after the call, that this node has read all changes of the list of workers. */
+  confirmList: () => Promise<boolean>
   write: (event: string, fields: LogFields) => void
 }
 
@@ -81,7 +83,10 @@
     const peers = known === undefined ? this._selectPeers(requestId ?? service, ASKED_PEERS) : []
     const replies = await this._ask(peers, requestId, service)
     const found = known ?? replies.find(({ origin }) => origin !== undefined)?.origin
-    const outcome: OriginOutcome = found === undefined ? this._resolveSingleVersion(service, peers.length, replies) : { type: 'known', origin: found }
+    // A node that hears no peer may be out of step, for example after it stood still, and not know a version at which others have begun streams.
+    const isAlone = found === undefined && replies.length === 0
+    const isInStep = !isAlone || await this._options.confirmList()
+    const outcome = found === undefined ? this._resolveSingleVersion(service, { askedCount: peers.length, replies, isInStep }) : { type: 'known' as const, origin: found }
     this._options.write('streamOriginResolved', {
       resumes: requestId,
       service,
@@ -114,9 +119,11 @@
   }
 
   /** Without its beginning, a stream goes on only if all who reply know of a single version, and one for long enough. */
-  private _resolveSingleVersion (service: string, askedCount: number, replies: readonly OriginReply[]): OriginOutcome {
+  private _resolveSingleVersion (service: string, { askedCount, replies, isInStep }: { askedCount: number, replies: readonly OriginReply[], isInStep: boolean }): OriginOutcome {
+    if (!isInStep) return { type: 'unknown', detail: 'no peer replies, and the log does not confirm the list of workers' }
     const views = [this._versionsOf(service), ...replies]
-    if (views.some(({ versions }) => versions === VersionKnowledge.Several)) return { type: 'unknown', detail: 'several software versions have served' }
+    const seen = new Set(views.flatMap(({ version }) => version === undefined ? [] : [version]))
+    if (seen.size > 1 || views.some(({ versions }) => versions === VersionKnowledge.Several)) return { type: 'unknown', detail: 'several software versions have served' }
     if (2 * replies.length < askedCount) return { type: 'unknown', detail: 'too few peers have replied' }
     const certain = new Set(views.flatMap(({ versions, version }) => versions === VersionKnowledge.Single && version !== undefined ? [version] : []))
     const [softwareVersion] = certain
@@ -133,7 +140,7 @@
     // A peer without the log may still begin streams at a version that has left the list.
     const isListShared = nowMs - this._staleListSeenAtMs >= MEMORY_MS
     const isCertain = versions.length === 1 && (listKnownForMs() ?? 0) >= MEMORY_MS && listSilenceMs() < LIST_FRESH_MS && isListShared
-    return isCertain ? { versions: VersionKnowledge.Single, version: versions[0] } : { versions: VersionKnowledge.Unknown }
+    return isCertain ? { versions: VersionKnowledge.Single, version: versions[0] } : { versions: VersionKnowledge.Unknown, version: versions[0] }
   }
 
   private _find (requestId: string | undefined): StreamOrigin | undefined {
--- a/packages/node/src/node/routed/topicFollower.ts
+++ b/packages/node/src/node/routed/topicFollower.ts
@@ -80,6 +80,15 @@
     return this._digest
   }
 
+  /** True if the log answers, within `timeoutMs`, that it holds no record which this follower has not read. */
+  async confirmRead (timeoutMs: number): Promise<boolean> {
+    const { log, topic } = this._options
+    const fromOffset = this._nextOffset
+    if (fromOffset === undefined) return false
+    const result = await log.read({ topic, partition: 0, fromOffset, waitMs: 0, timeoutMs })
+    return result.type === 'read' && result.records.length === 0
+  }
+
   /** Starts to follow the topic. */
   start (): void {
     void this._follow()
--- a/packages/node/test/node/routed/streamOriginNodes.ts
+++ b/packages/node/test/node/routed/streamOriginNodes.ts
@@ -17,6 +17,8 @@
   /** Time at which the node read the list of workers, undefined if it has not; it is behind a cut from the log since `silentSinceMs`. */
   listReadAtMs: number | undefined
   silentSinceMs: number | undefined
+  /** True while the log holds changes of the list that the node has not read. */
+  isListBehind: boolean
   sentCount: number
   isCut: boolean
 }
@@ -64,6 +66,7 @@
     directory,
     listReadAtMs: versions === undefined ? undefined : time.nowMs,
     silentSinceMs: undefined,
+    isListBehind: false,
     sentCount: 0,
     isCut: false,
     origins: new StreamOrigins({
@@ -71,6 +74,10 @@
       directory,
       mesh,
       listKnownForMs: () => node.listReadAtMs === undefined ? undefined : time.nowMs - node.listReadAtMs,
+      confirmList: async () => {
+        await new Promise<void>(resolve => { setTimeout(resolve, HOP_MS) })
+        return node.silentSinceMs === undefined && !node.isListBehind
+      },
       listSilenceMs: () => node.silentSinceMs === undefined ? 0 : time.nowMs - node.silentSinceMs,
       write: () => {}
     })
--- a/packages/node/test/node/routed/streamOrigins.test.ts
+++ b/packages/node/test/node/routed/streamOrigins.test.ts
@@ -70,6 +70,37 @@
   })
 })
 
+for (const { name, isSilent } of [{ name: 'cut off from the peers and the log for a short time', isSilent: true }, { name: 'that has just been standing still', isSilent: false }]) {
+  test(`a node ${name} does not continue a stream that may have begun at a version which it has not seen`, async () => {
+    await run(NAMES, LONG_MS, async (time, nodes) => {
+      const node = nodes.get('n1') as TestNode
+      node.isCut = isSilent
+      if (isSilent) node.silentSinceMs = time.nowMs
+      // Without a status for longer than the heartbeat timeout, no peer counts as alive.
+      for (const peer of NAMES) node.directory.markDisconnected(peer)
+      node.isListBehind = true
+      await time.advance(1_500)
+      assert.is(await resolve(time, node, 'r'), 'unknown')
+      node.silentSinceMs = undefined
+      node.isListBehind = false
+      assert.is(await resolve(time, node, 'r'), 'v1', 'once the log confirms its list')
+    })
+  })
+}
+
+test('a node with an outdated list does not continue a stream while peers that started lately see another version', async () => {
+  await run(NAMES, LONG_MS, async (time, nodes) => {
+    for (const [name, node] of nodes) {
+      if (name === 'n1') continue
+      node.registry.update('b1', createWorker('b1', 'v2'), time.nowMs)
+      node.registry.update('w-v1', undefined, time.nowMs)
+    }
+    await time.advance(LONG_MS)
+    for (const [name, node] of nodes) if (name !== 'n1') node.listReadAtMs = time.nowMs
+    assert.is(await resolve(time, nodes.get('n1'), 'r'), 'unknown')
+  })
+})
+
 test('while the log is silent, the beginnings of streams are sent to peers', async () => {
   await run(NAMES, LONG_MS, async (time, nodes) => {
     for (const node of nodes.values()) node.silentSinceMs = time.nowMs
