--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -333,16 +333,16 @@
   }
 
   endForStop (): void {
-    this._expire(RefusalReason.Stopping)
+    this._expire(RefusalReason.Stopping, 'the node stops')
   }
 
-  private _expire (reason: RefusalReason = RefusalReason.TimedOut): void {
+  private _expire (reason: RefusalReason = RefusalReason.TimedOut, detail = 'timed out'): void {
     if (this._isDone) return
     const mayHaveRun = this._mayHaveRun || this._isAttemptOpen || this._relay.hasHead
     if (this._relay.hasHead && !this._relay.isBackpressured) this._latestAttempt?.cancelUnfinished()
     else this._latestAttempt?.cancel()
     this._reportTurnEnd(this._usedTokens)
-    if (this._relay.hasBegun) this._abort(reason)
+    if (this._relay.hasBegun) this._abort(detail)
     else if (mayHaveRun) this._refuse({ status: 504, reason })
     else this._refuse({ status: 503, reason, retryAfterMs: BUSY_RETRY_AFTER_MS })
   }
