--- a/scripts/routedSoak.ts
+++ b/scripts/routedSoak.ts
@@ -9,7 +9,7 @@
 import { runSoak } from '../platform/test/soak/routedSoak.js'
 
 const MS_PER_S = 1_000
-const MAX_NODES = 60
+const MAX_NODES = 100
 
 const options = await yargs(hideBin(process.argv))
   .options({
@@ -29,8 +29,8 @@
 
 let failedSeeds = 0
 for (let seed = options.seed; seed < options.seed + options.seeds; seed++) {
-  const { requests, complete, crashes, runsInCalm, injected, violations, folder } = await runSoak({ seed, durationMs: options.seconds * MS_PER_S, nodes: options.nodes, callers: options.callers })
-  process.stdout.write(`seed ${seed}: ${injected.length} faults, ${requests} requests, ${complete} complete, ${crashes} crashes, ${runsInCalm} runs in calm, ${violations.length} violations\n`)
+  const { requests, complete, continuations, crashes, runsInCalm, injected, violations, folder } = await runSoak({ seed, durationMs: options.seconds * MS_PER_S, nodes: options.nodes, callers: options.callers })
+  process.stdout.write(`seed ${seed}: ${injected.length} faults, ${requests} requests, ${complete} complete, ${continuations} streams taken up, ${crashes} crashes, ${runsInCalm} runs in calm, ${violations.length} violations\n`)
   if (violations.length === 0) continue
   failedSeeds++
   const command = `npm run soak:routed -- --seed ${seed} --seconds ${options.seconds} --nodes ${options.nodes} --callers ${options.callers}`
