--- a/scripts/routedSoak.ts
+++ b/scripts/routedSoak.ts
@@ -28,6 +28,9 @@
   .strict()
   .parse()
 
+// The end of this process ends the daemons that it has started.
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) process.once(signal, () => process.exit(1))
+
 let failedSeeds = 0
 for (let seed = options.seed; seed < options.seed + options.seeds; seed++) {
   const { requests, complete, continuations, crashes, runsInCalm, injected, violations, folder } = await runSoak({ seed, durationMs: options.seconds * MS_PER_S, nodes: options.nodes, callers: options.callers, productionFolder: options.production })
