The end of a quarantine removes its crashes too, at all nodes

Otherwise a node that starts later would quarantine the request again from the records of its crashes.

--- a/packages/node/src/node/routed/poisonRequestDetector.ts
+++ b/packages/node/src/node/routed/poisonRequestDetector.ts
@@ -23,7 +23,7 @@
 /** A quarantine of which the log has no record is recorded by every node that knows of it, each after a random part of this time. */
 const RECORD_SPREAD_MS = 2_000
 const CHECK_PERIOD_MS = 1_000
-const MAX_SERVED_REQUESTS = 1_000
+const MAX_CLEARED_REQUESTS = 1_000
 
 /** Why a request must not be sent to a worker now. */
 export interface PoisonRefusal {
@@ -54,8 +54,6 @@
   write: (event: string, fields: LogFields) => void
 }
 
-type Observation = Omit<RecordedCrash, 'sentAtMs'> & { sentAtMs: number }
-
 /**
  * @example
  * const detector = new PoisonRequestDetector({ topic, log, random, onCrashObserved, probe, write })
@@ -66,9 +64,9 @@
   private readonly _watch = new WorkerEndWatch()
   private readonly _records: CrashRecords
   private readonly _timer: NodeJS.Timeout
-  private _observed: Observation[] = []
-  /** Steady times at which suspect requests were served, by fingerprint. */
-  private readonly _servedAtMs = new Map<string, number>()
+  private _observed: RecordedCrash[] = []
+  /** Steady times at which requests were served or released, by fingerprint; earlier crashes don't count. */
+  private readonly _clearedAtMs = new Map<string, number>()
   /** Quarantines without a record in the log, with the time at which this node records them. */
   private readonly _unrecordedQuarantines = new Map<string, number>()
 
@@ -82,6 +80,7 @@
       onQuarantine: fingerprint => this._applyQuarantine(fingerprint),
       onQuarantineRemoved: fingerprint => {
         this._suspects.release(fingerprint)
+        this._forgetCrashes(fingerprint)
         write('quarantineReleased', { fingerprint })
       },
       write
@@ -169,11 +168,7 @@
     const fingerprint = fingerprintOf(request)
     this._watch.removeServed(fingerprint)
     if (!this._suspects.clear(fingerprint)) return
-    this._observed = this._observed.filter(crash => crash.fingerprint !== fingerprint)
-    this._records.removeCrashes(fingerprint)
-    this._servedAtMs.delete(fingerprint)
-    this._servedAtMs.set(fingerprint, steadyNowMs())
-    if (this._servedAtMs.size > MAX_SERVED_REQUESTS) this._servedAtMs.delete(this._servedAtMs.keys().next().value as string)
+    this._forgetCrashes(fingerprint)
     this._options.write('requestCleared', { requestId: request.requestId, fingerprint })
   }
 
@@ -207,9 +202,17 @@
     this._records.recordCrash(crash)
   }
 
+  private _forgetCrashes (fingerprint: string): void {
+    this._observed = this._observed.filter(crash => crash.fingerprint !== fingerprint)
+    this._records.removeCrashes(fingerprint)
+    this._clearedAtMs.delete(fingerprint)
+    this._clearedAtMs.set(fingerprint, steadyNowMs())
+    if (this._clearedAtMs.size > MAX_CLEARED_REQUESTS) this._clearedAtMs.delete(this._clearedAtMs.keys().next().value as string)
+  }
+
   private _addCrash ({ fingerprint, ...crash }: RecordedCrash): void {
-    const servedAtMs = this._servedAtMs.get(fingerprint)
-    if (servedAtMs !== undefined && crash.crashedAtMs <= servedAtMs) return
+    const clearedAtMs = this._clearedAtMs.get(fingerprint)
+    if (clearedAtMs !== undefined && crash.crashedAtMs <= clearedAtMs) return
     if (!this._suspects.addCrash(fingerprint, crash)) return
     this._options.write('requestQuarantined', { fingerprint, workers: [...this._suspects.crashedWorkers(fingerprint)].join() })
     this._unrecordedQuarantines.set(fingerprint, steadyNowMs() + this._options.random.next() * RECORD_SPREAD_MS)
