--- a/packages/core/src/common/dispatch/suspectRequests.ts
+++ b/packages/core/src/common/dispatch/suspectRequests.ts
@@ -111,10 +111,11 @@
     return this._suspects.get(fingerprint)?.crashes.keys() ?? []
   }
 
-  /** Time of the latest of at least two crashes; undefined with fewer. */
+  /** Time of the latest crash if at least two are independent; undefined otherwise. */
   latestOfSeveralCrashes (fingerprint: string): number | undefined {
-    const crashes = this._suspects.get(fingerprint)?.crashes
-    return crashes === undefined || crashes.size < 2 ? undefined : Math.max(...[...crashes.values()].map(({ crashedAtMs }) => crashedAtMs))
+    const suspect = this._suspects.get(fingerprint)
+    if (suspect === undefined || this._countIndependentCrashes(suspect) < 2) return undefined
+    return Math.max(...[...suspect.crashes.values()].map(({ crashedAtMs }) => crashedAtMs))
   }
 
   /** True when no worker should get the request again. */
--- a/packages/node/src/node/routed/poisonRequestDetector.ts
+++ b/packages/node/src/node/routed/poisonRequestDetector.ts
@@ -16,7 +16,7 @@
 const OBSERVATION_RETENTION_MS = 60_000
 const UNRECORDED_RETENTION_MS = 600_000
 const MAX_OBSERVED = 1_000
-/** After two crashes a request is sent to one worker at a time, this long after the latest crash, so that crashes become known before the next try. */
+/** After two independent crashes a request is sent to one worker at a time, this long after the latest crash, so that crashes become known before the next try. */
 const SEVERAL_CRASHES_PAUSE_MS = 1_000
 /** Retry-after of quarantined requests; long, because a request that crashes workers should not be repeated soon. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000
