--- a/packages/core/src/common/dispatch/suspectRequests.ts
+++ b/packages/core/src/common/dispatch/suspectRequests.ts
@@ -61,7 +61,12 @@
 
   /** All recorded crashes. */
   get crashes (): Array<SuspectCrash & { fingerprint: string }> {
-    return [...this._suspects].flatMap(([fingerprint, { crashes }]) => [...crashes.values()].map(crash => ({ ...crash, fingerprint })))
+    return [...this._suspects.keys()].flatMap(fingerprint => this.crashesOf(fingerprint))
+  }
+
+  /** The recorded crashes of a request. */
+  crashesOf (fingerprint: string): Array<SuspectCrash & { fingerprint: string }> {
+    return [...this._suspects.get(fingerprint)?.crashes.values() ?? []].map(crash => ({ ...crash, fingerprint }))
   }
 
   /** Records a crash of a worker that ran the request; true when this crash quarantines it. Only a worker's first crash counts. */
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -53,8 +53,10 @@
   logSilenceMs: number
   /** The sender's requests in flight by worker. */
   load: Record<string, number>
-  /** Crashes of workers that the sender observed in the last minute; absent if there were none. */
+  /** Crashes of workers that the sender observed in the last minute, and those of quarantined requests while a peer learns of them from statuses only; absent if there were none. */
   crashes?: ObservedCrash[]
+  /** True if the sender learns of crashes and quarantines from the log; absent from nodes of earlier builds. */
+  readsCrashRecords?: boolean
   /** Service shards with rate limits whose slots the sender assigns; absent if there are none. */
   rateLimitedShards?: string[]
   /** What the workers say that the sender coordinates, rate limits and that they leave; absent if there is nothing. */
--- a/packages/node/src/node/routed/poisonRequestDetector.ts
+++ b/packages/node/src/node/routed/poisonRequestDetector.ts
@@ -24,6 +24,8 @@
 const RECORD_SPREAD_MS = 2_000
 const CHECK_PERIOD_MS = 1_000
 const MAX_CLEARED_REQUESTS = 1_000
+/** Bounds the size of statuses while nodes of earlier builds are in service. */
+const MAX_REPORTED_QUARANTINES = 10
 
 /** Why a request must not be sent to a worker now. */
 export interface PoisonRefusal {
@@ -106,14 +108,16 @@
     this._records.stop()
   }
 
-  /** Crashes that this node observed lately. */
-  get observedCrashes (): ObservedCrash[] {
+  /** Crashes for the statuses of this node: those that it observed lately and, if `includesQuarantined`, all of the latest quarantined requests. */
+  crashesToReport ({ includesQuarantined }: { includesQuarantined: boolean }): ObservedCrash[] {
     const nowMs = steadyNowMs()
     this._observed = this._observed.filter(({ fingerprint, worker, crashedAtMs }) => {
       const retentionMs = this._records.isCrashRecorded(fingerprint, worker) ? OBSERVATION_RETENTION_MS : UNRECORDED_RETENTION_MS
       return nowMs - crashedAtMs < retentionMs
     })
-    return this._observed.map(crash => toObservedCrash(crash, nowMs))
+    const quarantined = includesQuarantined ? [...this._suspects.quarantined].slice(-MAX_REPORTED_QUARANTINES).flatMap(fingerprint => this._suspects.crashesOf(fingerprint)) : []
+    const others = quarantined.filter(({ fingerprint, worker }) => !this._observed.some(crash => crash.fingerprint === fingerprint && crash.worker === worker))
+    return [...this._observed, ...others].map(crash => toObservedCrash(crash, nowMs))
   }
 
   /** All that is known, for a peer that has just started or was out of reach; undefined if there is nothing. */
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -380,7 +380,9 @@
   }
 
   private _composeStatus (): Omit<NodeStatus, 'periodMs' | 'peers'> {
-    const crashes = this._poisonRequestDetector.observedCrashes
+    // Nodes of earlier builds read no records of crashes.
+    const includesQuarantined = this._directory.alive.some(({ readsCrashRecords }) => readsCrashRecords !== true)
+    const crashes = this._poisonRequestDetector.crashesToReport({ includesQuarantined })
     const { rateLimitedShards } = this._coordinator
     const rateLimits = this._noticeExchange.coordinated
     return {
@@ -393,6 +395,7 @@
       cores: this._cores,
       busyShare: this._loopUtilization.read(),
       reachesWorkers: !this._links.isCutOff,
+      readsCrashRecords: true,
       logSilenceMs: Math.round(this._clusterView.sinceLogResponseMs),
       load: this._statistics.ownLoad(),
       crashes: crashes.length === 0 ? undefined : crashes,
