--- a/packages/node/src/common/routed/workerClient.ts
+++ b/packages/node/src/common/routed/workerClient.ts
@@ -28,6 +28,8 @@
   /** End-to-end headers of the answer. */
   headers: HeaderList
   isEventStream: boolean
+  /** True if its framing tells where the answer ends. Otherwise the end of the connection ends it, which may also be the end of the worker. Absent from relays of earlier builds. */
+  isSelfDelimiting?: boolean
   /** What the worker says of itself. */
   notice: AnswerNotice
 }
--- a/packages/node/src/node/routed/answerRelay.ts
+++ b/packages/node/src/node/routed/answerRelay.ts
@@ -13,6 +13,7 @@
 const MAX_EVENT_BYTES = 1024 * 1024
 /** Largest output of a turn that can be retained. */
 const MAX_OUTPUT_BYTES = 8 * 1024 * 1024
+const FIRST_SUCCESS_STATUS = 200
 const FIRST_REDIRECT_STATUS = 300
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
@@ -92,6 +93,16 @@
     return this._head?.status ?? 0
   }
 
+  /** True if a complete answer with the current attempt's head shows that the worker ran the request and did not end under it. */
+  get provesService (): boolean {
+    return this.status >= FIRST_SUCCESS_STATUS && this.status < FIRST_REDIRECT_STATUS && this.isSelfDelimiting
+  }
+
+  /** False if the current attempt's answer ends with its connection, which may also be the end of the worker. */
+  get isSelfDelimiting (): boolean {
+    return this._head?.isSelfDelimiting === true
+  }
+
   /** True if another attempt can go on where the forwarded part of the answer ends. */
   get isContinuable (): boolean {
     return this._isBegunStream && this._isLastEventIdentified
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -20,8 +20,6 @@
 const OWNER_RETRY_AFTER_MS = 300
 /** Retry-after while it isn't known which software version began the caller's stream, for example while peers that know it reconnect. */
 const ORIGIN_RETRY_AFTER_MS = 300
-/** A worker's answer from this status on is no evidence that the request does no harm. */
-const FIRST_SERVER_ERROR_STATUS = 500
 /** Retry-after of requests that a stopping node refuses; other nodes serve them at once. */
 const STOPPING_RETRY_AFTER_MS = 20
 /** Share of the remaining time for which a request may wait for the owner of its program. */
@@ -260,7 +258,8 @@
     }
     this._sentCount++
     this._latestAttempt?.recordAnswer(this._relay.status, Math.max(1, this._relay.eventCount))
-    if (this._relay.status < FIRST_SERVER_ERROR_STATUS) this._dependencies.poisonRequestDetector.recordServed(this._request)
+    if (this._relay.provesService) this._dependencies.poisonRequestDetector.recordServed(this._request)
+    else if (!this._relay.isSelfDelimiting) this._latestAttempt?.watchWorker()
     this._relay.endAttempt(() => {
       if (this._relay.isStream && this._grant !== undefined) {
         void this._finishTurn()
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -113,6 +113,11 @@
     this._fail({ type: 'broken', detail })
   }
 
+  /** Has the request count as a suspect if the worker turns out to have ended: its answer does not show that it lives. */
+  watchWorker (): void {
+    this._reportUnanswered(false)
+  }
+
   private _fail (failure: CallFailure): void {
     this._openCall = undefined
     const { dependencies, worker, listener } = this._options
