--- a/packages/core/src/common/dispatch/suspectRequests.ts
+++ b/packages/core/src/common/dispatch/suspectRequests.ts
@@ -105,6 +105,11 @@
     if (suspect.crashes.size === 0) this._suspects.delete(fingerprint)
   }
 
+  /** True if a worker has crashed under the request and none has served it since. */
+  hasCrashes (fingerprint: string): boolean {
+    return this._suspects.has(fingerprint)
+  }
+
   /** True while the request's first recorded crash is less than 10 minutes old. */
   isSuspect (fingerprint: string, nowMs: number): boolean {
     const suspect = this._suspects.get(fingerprint)
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -57,6 +57,8 @@
   crashes?: ObservedCrash[]
   /** True if the sender learns of crashes and quarantines from the log; absent from nodes of earlier builds. */
   readsCrashRecords?: boolean
+  /** True if the sender grants turns of suspect requests; absent from nodes of earlier builds. */
+  takesRequestReports?: boolean
   /** Service shards with rate limits whose slots the sender assigns; absent if there are none. */
   rateLimitedShards?: string[]
   /** What the workers say that the sender coordinates, rate limits and that they leave; absent if there is nothing. */
@@ -154,6 +156,10 @@
   | { type: 'notices', reports: WorkerNotice[] }
   /** Tells a node that has just started, or was out of reach, which requests have crashed workers. Gets no reply. */
   | { type: 'crashReport', report: CrashReport }
+  /** Requests a turn of a suspect request, which may be sent to one worker at a time. */
+  | { type: 'beginSuspect', fingerprint: string, turnId: string, durationMs: number }
+  /** Ends a turn; `isAnswered` if a worker has answered or did not get the request. Gets no reply. */
+  | { type: 'endSuspect', fingerprint: string, turnId: string, isAnswered: boolean }
   /** Reports what a worker says to its coordinator. Gets no reply. */
   | { type: 'rateLimit', report: WorkerNotice }
   /** Requests a turn from the owner of the program's partition; `isKept` if the turn will be retained. */
@@ -176,6 +182,8 @@
   /** The live nodes that the peer knows, itself included. */
   | { type: 'nodeList', nodes: NodeAddress[] }
   | { type: 'workerProbed', result: ProbeResult }
+  /** `waitMs` is 0 if the turn has begun, else the time after which to ask again. */
+  | { type: 'suspectTurn', waitMs: number }
   | GrantReply
   | EndReply
   | PlaceReply
--- a/packages/node/src/node/routed/poisonRequestDetector.ts
+++ b/packages/node/src/node/routed/poisonRequestDetector.ts
@@ -186,9 +186,11 @@
     return pauseLeftMs > 0 ? { isQuarantined: false, retryAfterMs: pauseLeftMs } : undefined
   }
 
-  /** True if a worker has crashed under the request, which may be its cause or not. */
-  isSuspect (request: RoutedRequest): boolean {
-    return !this._suspects.isEmpty && this._suspects.isSuspect(fingerprintOf(request), steadyNowMs())
+  /** The fingerprint of a request under which a worker has crashed, which may be its cause or not; undefined for other requests. */
+  findSuspect (request: RoutedRequest): string | undefined {
+    if (this._suspects.isEmpty) return undefined
+    const fingerprint = fingerprintOf(request)
+    return this._suspects.hasCrashes(fingerprint) ? fingerprint : undefined
   }
 
   private _handleEnd (lifetime: string, evidence: CrashEvidence): void {
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -44,6 +44,9 @@
   private _isDone = false
   /** Requests in flight at the worker of the latest attempt, as this node knew them when it chose the worker. */
   private _believedInFlight = 0
+  /** Ends the turn of a suspect request; undefined without one. */
+  private _suspectTurn: ((isAnswered: boolean) => void) | undefined
+  private _isSentInTurn = false
   private _sentCount = 0
   private _unsentCount = 0
   private _mayHaveRun = false
@@ -153,12 +156,40 @@
 
   private _startAttempt (): void {
     if (this._refusePoison()) return
+    const suspect = this._suspectTurn === undefined ? this._dependencies.poisonRequestDetector.findSuspect(this._request) : undefined
+    if (suspect === undefined) this._selectWorker()
+    else void this._beginSuspectTurn(suspect)
+  }
+
+  /** Obtains the right to send a request under which a worker has crashed, which is at one worker at a time. */
+  private async _beginSuspectTurn (fingerprint: string): Promise<void> {
+    const turn = await this._dependencies.suspectGate.begin(fingerprint, { requestId: this._request.requestId, durationMs: this._timeLeftMs })
+    if (this._isDone) {
+      if (turn.type === 'granted') turn.end(true)
+    } else if (turn.type === 'busy') {
+      this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'the request may crash workers and is at one', RefusalReason.Quarantined, turn.retryAfterMs)
+    } else {
+      this._suspectTurn = turn.end
+      this._startAttempt()
+    }
+  }
+
+  private _endSuspectTurn (isAnswered: boolean): void {
+    this._suspectTurn?.(isAnswered)
+    this._suspectTurn = undefined
+  }
+
+  private _selectWorker (): void {
     const state = { cached: this._grant?.cached ?? [], excluded: this._excluded, hasBegun: this._hasBegun, timeLeftMs: this._timeLeftMs, origin: this._stream.origin }
     this._selector.select(state, selection => {
       const next: NextAction = { type: this._mayHaveRun ? 'unknown' : 'notRun' }
       switch (selection.type) {
         case 'selected':
-          // The request may have been quarantined while it waited for a slot.
+          // The request may have become suspect while it waited for a slot.
+          if (this._suspectTurn === undefined && this._dependencies.poisonRequestDetector.findSuspect(this._request) !== undefined) {
+            selection.release?.({})
+            return this._startAttempt()
+          }
           if (this._refusePoison()) return selection.release?.({})
           this._service = selection.service
           return this._send(selection.worker, selection.release)
@@ -200,6 +231,7 @@
     })
     const request = this._request
     this._relay.beginAttempt(this._maxEvents)
+    this._isSentInTurn = this._suspectTurn !== undefined
     this._latestAttempt = new WorkerAttempt({
       dependencies: this._dependencies,
       route: this._route,
@@ -257,6 +289,7 @@
       return
     }
     this._sentCount++
+    this._endSuspectTurn(true)
     this._latestAttempt?.recordAnswer(this._relay.status, Math.max(1, this._relay.eventCount))
     if (this._relay.provesService) this._dependencies.poisonRequestDetector.recordServed(this._request)
     else if (!this._relay.isSelfDelimiting) this._latestAttempt?.watchWorker()
@@ -299,6 +332,7 @@
     if (attemptOutcome === AttemptOutcome.NotSent) this._unsentCount++
     else this._sentCount++
     if (attemptOutcome === AttemptOutcome.Unknown) this._mayHaveRun = true
+    this._endSuspectTurn(attemptOutcome !== AttemptOutcome.Unknown)
     if (worker !== undefined) this._excluded.add(worker.workerId)
     this._dependencies.metrics.count('attempts_failed_total', { fate: attemptOutcome })
     if (attemptOutcome === AttemptOutcome.Refused && worker !== undefined) {
@@ -309,7 +343,7 @@
     this._relay.whenForwarding(() => {
       if (this._isDone) return
       // A request that may have crashed workers before is not repeated beside sound ones.
-      const isSuspect = attemptOutcome === AttemptOutcome.Unknown && this._dependencies.poisonRequestDetector.isSuspect(this._request)
+      const isSuspect = attemptOutcome === AttemptOutcome.Unknown && this._dependencies.poisonRequestDetector.findSuspect(this._request) !== undefined
       const next: NextAction = isSuspect ? { type: 'unknown' } : resolveNextAction(attemptOutcome, { route: this._route, sentCount: this._sentCount, unsentCount: this._unsentCount, mayHaveRun: this._mayHaveRun, hasAnswerBegun: this._relay.hasBegun, isAnswerContinuable: this._relay.isContinuable, timeLeftMs: this._timeLeftMs })
       this._log('attemptFailed', { worker: worker?.workerId, fate: attemptOutcome, detail, next: next.type, sent: this._sentCount })
       this._applyNextAction(next, detail, reason)
@@ -397,6 +431,7 @@
   private _endCall (outcome: string, status: number, reason?: string, detail?: string): void {
     this._isDone = true
     this._unregister()
+    this._endSuspectTurn(!this._isSentInTurn)
     this._selector.cancel()
     this._relay.stop()
     clearTimeout(this._expiryTimer)
--- a/packages/node/src/node/routed/routedCallDependencies.ts
+++ b/packages/node/src/node/routed/routedCallDependencies.ts
@@ -8,6 +8,7 @@
 import type { WorkerNoticeReporter } from './workerNoticeReporter.js'
 import type { RouteDurations } from './routeDurations.js'
 import type { SlotClient } from './slotClient.js'
+import type { SuspectGate } from './suspectGate.js'
 import type { StreamOrigins } from './streamOrigins.js'
 import type { TurnService } from './turnService.js'
 
@@ -29,6 +30,7 @@
   workers: IWorkerCaller
   turns: TurnService
   poisonRequestDetector: PoisonRequestDetector
+  suspectGate: SuspectGate
   metrics: Metrics
   plannedStop: PlannedStop
   /** Number of live nodes, among which the connections to a worker are divided. */
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -32,6 +32,7 @@
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
 import { SlotClient } from './slotClient.js'
 import { StatusBroadcast } from './statusBroadcast.js'
+import { SuspectGate } from './suspectGate.js'
 import { StreamOrigins } from './streamOrigins.js'
 import { TurnService } from './turnService.js'
 
@@ -99,6 +100,7 @@
   private readonly _streamOrigins: StreamOrigins
   private readonly _clusterView: ClusterView
   private readonly _poisonRequestDetector: PoisonRequestDetector
+  private readonly _suspectGate: SuspectGate
   private readonly _statusBroadcast: StatusBroadcast
   private readonly _callDependencies: RoutedCallDependencies
   private readonly _gauges: NodeGauges
@@ -167,6 +169,7 @@
       onChanged: () => this._statusBroadcast.send(),
       write
     })
+    this._suspectGate = new SuspectGate({ node, directory: this._directory, mesh: this._mesh, write })
     this._poisonRequestDetector = new PoisonRequestDetector({
       topic: NODE_TOPIC,
       log,
@@ -255,6 +258,7 @@
       workers: gateway,
       turns: this._turns,
       poisonRequestDetector: this._poisonRequestDetector,
+      suspectGate: this._suspectGate,
       metrics: this.metrics,
       plannedStop: this._plannedStop,
       nodeCount: () => this._directory.alive.length + 1,
@@ -396,6 +400,7 @@
       busyShare: this._loopUtilization.read(),
       reachesWorkers: !this._links.isCutOff,
       readsCrashRecords: true,
+      takesRequestReports: true,
       logSilenceMs: Math.round(this._clusterView.sinceLogResponseMs),
       load: this._statistics.ownLoad(),
       crashes: crashes.length === 0 ? undefined : crashes,
@@ -414,7 +419,7 @@
   }
 
   private _handlePeerRequest (request: PeerRequest, respond: PeerResponder, requester: PeerRequester): void {
-    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond) || this._relayServer.handle(request, respond, requester) || this._discovery.handle(request, respond)) return
+    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond) || this._relayServer.handle(request, respond, requester) || this._discovery.handle(request, respond) || this._suspectGate.handle(request, respond, requester)) return
     switch (request.type) {
       case 'place': return this._coordinator.place(request.shard, request.from, request.request, respond)
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
