--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -32,6 +32,19 @@
   quarantined: string[]
 }
 
+/** A request at a worker: its id in the sender's reports, the fingerprint, `hash32` of the worker's id and start, and the time since it was sent. */
+export type ReportedRequest = [id: number, fingerprint: Uint8Array, workerHash: number, agoMs: number]
+
+/** Requests of the sender that workers may run, and the ids of those that have ended. */
+export interface RequestReport {
+  from: string
+  incarnation: string
+  /** True if the report holds all requests, and earlier ones no longer count. */
+  isReset: boolean
+  sent: ReportedRequest[]
+  ended: number[]
+}
+
 /** Sent to every peer periodically, and early after a change that affects callers. */
 export interface NodeStatus {
   type: 'status'
@@ -57,7 +70,7 @@
   crashes?: ObservedCrash[]
   /** True if the sender learns of crashes and quarantines from the log; absent from nodes of earlier builds. */
   readsCrashRecords?: boolean
-  /** True if the sender grants turns of suspect requests; absent from nodes of earlier builds. */
+  /** True if the sender takes reports of open requests and grants turns of suspect ones; absent from nodes of earlier builds. */
   takesRequestReports?: boolean
   /** Service shards with rate limits whose slots the sender assigns; absent if there are none. */
   rateLimitedShards?: string[]
@@ -156,6 +169,8 @@
   | { type: 'notices', reports: WorkerNotice[] }
   /** Tells a node that has just started, or was out of reach, which requests have crashed workers. Gets no reply. */
   | { type: 'crashReport', report: CrashReport }
+  /** Reports requests that are at workers. Gets no reply. */
+  | { type: 'requestsOpen' } & RequestReport
   /** Requests a turn of a suspect request, which may be sent to one worker at a time. */
   | { type: 'beginSuspect', fingerprint: string, turnId: string, durationMs: number }
   /** Ends a turn; `isAnswered` if a worker has answered or did not get the request. Gets no reply. */
--- a/packages/node/src/node/routed/poisonRequestDetector.ts
+++ b/packages/node/src/node/routed/poisonRequestDetector.ts
@@ -1,12 +1,14 @@
 /** Detects requests that crash the workers which run them, from crashes observed by all nodes, and quarantines them. */
-import { createHash } from 'node:crypto'
 import { type IRandom, type LogFields, ProbeResult, SuspectRequests, type WorkerRegistration } from '@trefoilshunt/core'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import type { CrashReport, ObservedCrash } from '../../common/routed/routedPeerMessages.js'
 import type { RoutedRequest } from '../../common/routed/routedRequest.js'
 import { steadyNowMs } from '../steadyClock.js'
 import { CrashRecords, type RecordedCrash } from './crashRecords.js'
-import { CrashEvidence, type UnansweredRequest, WorkerEndWatch, workerLifetimeOf } from './workerEndWatch.js'
+import type { OpenRequest, OpenRequestReporter } from './openRequestReporter.js'
+import type { ReportedRequests, RequestAtWorker } from './reportedRequests.js'
+import { fingerprintOf } from './requestFingerprint.js'
+import { CrashEvidence, type UnansweredRequest, watchTimeMs, WorkerEndWatch, workerLifetimeOf } from './workerEndWatch.js'
 
 /** A request may be at a worker during two crashes by chance; the requirements limit how many workers it may reach after the third. */
 const CRASHES_TO_QUARANTINE = 3
@@ -23,6 +25,8 @@
 /** A quarantine of which the log has no record is recorded by every node that knows of it, each after a random part of this time. */
 const RECORD_SPREAD_MS = 2_000
 const CHECK_PERIOD_MS = 1_000
+/** A peer that is lost within this time after the end of a worker may not have told of its requests there. */
+const REPORTED_WATCH_MS = 60_000
 const MAX_CLEARED_REQUESTS = 1_000
 /** Bounds the size of statuses while nodes of earlier builds are in service. */
 const MAX_REPORTED_QUARANTINES = 10
@@ -40,6 +44,8 @@
   sentAtMs: number
   /** True if the connection broke, false if the request was given up. */
   isBroken: boolean
+  /** The request in the reports to a peer; absent if it is not reported. */
+  open?: OpenRequest
 }
 
 export interface PoisonRequestDetectorOptions {
@@ -53,6 +59,12 @@
   isRegistered: (worker: WorkerRegistration) => boolean
   /** Connects to a worker: the address of a crashed one may refuse connections for seconds. */
   probe: (worker: WorkerRegistration) => Promise<ProbeResult>
+  /** Tells a peer which requests are at workers. */
+  reporter: Pick<OpenRequestReporter, 'end' | 'endUnanswered' | 'endServed'>
+  /** What peers tell of theirs. */
+  reported: Pick<ReportedRequests, 'listAt' | 'take'>
+  /** True if the peer that reported a request lives, so that it tells of the crash itself. */
+  isSenderAlive: (sender: string) => boolean
   write: (event: string, fields: LogFields) => void
 }
 
@@ -66,6 +78,8 @@
   private readonly _watch = new WorkerEndWatch()
   private readonly _records: CrashRecords
   private readonly _timer: NodeJS.Timeout
+  /** Requests that peers had at workers which have ended, until the peers tell of them or are lost. */
+  private _reportedAtEnded: Array<{ sender: string, request: RequestAtWorker, worker: string, endedAtMs: number }> = []
   private _observed: RecordedCrash[] = []
   /** Steady times at which requests were served or released, by fingerprint; earlier crashes don't count. */
   private readonly _clearedAtMs = new Map<string, number>()
@@ -87,7 +101,10 @@
       },
       write
     })
-    this._timer = setInterval(() => this._recordQuarantines(), CHECK_PERIOD_MS)
+    this._timer = setInterval(() => {
+      this._countReported()
+      this._recordQuarantines()
+    }, CHECK_PERIOD_MS)
   }
 
   /** The records that this detector shares with those of other nodes, to be fed from the topic. */
@@ -143,9 +160,10 @@
   }
 
   /** Handles a request that was sent to a worker and got no complete answer: it is suspect if the worker has ended, or turns out to have ended. */
-  async handleUnanswered ({ request, worker, sentAtMs, isBroken }: UnansweredAttempt): Promise<void> {
+  async handleUnanswered ({ request, worker, sentAtMs, isBroken, open }: UnansweredAttempt): Promise<void> {
     const lifetime = workerLifetimeOf(worker)
-    const unanswered = { fingerprint: fingerprintOf(request), requestId: request.requestId, worker: lifetime, sentAtMs, endedAtMs: steadyNowMs(), isBroken }
+    const unanswered: UnansweredRequest = { fingerprint: fingerprintOf(request), requestId: request.requestId, worker: lifetime, sentAtMs, endedAtMs: steadyNowMs(), isBroken, open }
+    if (open !== undefined) this._options.reporter.endUnanswered(open, watchTimeMs(unanswered))
     if (this._options.isRegistered(worker)) this._watch.revive(lifetime)
     const end = this._watch.add(unanswered)
     if (end !== undefined) {
@@ -171,6 +189,7 @@
     if (this._suspects.isEmpty && this._watch.isEmpty) return
     const fingerprint = fingerprintOf(request)
     this._watch.removeServed(fingerprint)
+    this._options.reporter.endServed(fingerprint)
     if (!this._suspects.clear(fingerprint)) return
     this._forgetCrashes(fingerprint)
     this._options.write('requestCleared', { requestId: request.requestId, fingerprint })
@@ -194,14 +213,37 @@
   }
 
   private _handleEnd (lifetime: string, evidence: CrashEvidence): void {
+    const isKnown = this._watch.hasEnded(lifetime)
     const requests = this._watch.end(lifetime, evidence)
     for (const request of requests) this._observe(request, evidence)
     if (requests.length > 0) this._options.onCrashObserved()
+    if (isKnown) return
+    const endedAtMs = steadyNowMs()
+    this._reportedAtEnded.push(...this._options.reported.listAt(lifetime).map(entry => ({ ...entry, worker: lifetime, endedAtMs })))
+    this._countReported()
   }
 
-  private _observe ({ fingerprint, requestId, worker, sentAtMs, endedAtMs, isBroken }: UnansweredRequest, evidence: CrashEvidence): void {
-    const crash = { fingerprint, worker, crashedAtMs: endedAtMs, sentAtMs }
+  /** Counts the end of a worker against the requests that lost peers had there; those that live tell of them. */
+  private _countReported (): void {
+    const nowMs = steadyNowMs()
+    const remaining = this._reportedAtEnded.filter(({ endedAtMs }) => nowMs - endedAtMs < REPORTED_WATCH_MS)
+    const lost = remaining.filter(({ sender }) => !this._options.isSenderAlive(sender))
+    this._reportedAtEnded = remaining.filter(entry => !lost.includes(entry))
+    const counted = lost.filter(({ sender, request }) => this._options.reported.take(sender, request))
+    for (const { sender, request: { fingerprint, sentAtMs }, worker, endedAtMs } of counted) {
+      this._options.write('workerCrashed', { worker, fingerprint, evidence: CrashEvidence.ReportedOpen, sender, agoMs: Math.round(nowMs - endedAtMs) })
+      this._record({ fingerprint, worker, crashedAtMs: endedAtMs, sentAtMs })
+    }
+    if (counted.length > 0) this._options.onCrashObserved()
+  }
+
+  private _observe ({ fingerprint, requestId, worker, sentAtMs, endedAtMs, isBroken, open }: UnansweredRequest, evidence: CrashEvidence): void {
     this._options.write('workerCrashed', { requestId, worker, fingerprint, evidence, isBroken, agoMs: Math.round(steadyNowMs() - endedAtMs) })
+    this._record({ fingerprint, worker, crashedAtMs: endedAtMs, sentAtMs })
+    if (open !== undefined) this._options.reporter.end(open)
+  }
+
+  private _record (crash: RecordedCrash): void {
     this._observed.push(crash)
     if (this._observed.length > MAX_OBSERVED) this._observed.shift()
     this._addCrash(crash)
@@ -243,8 +285,3 @@
 function toObservedCrash ({ fingerprint, worker, crashedAtMs, sentAtMs }: RecordedCrash, nowMs: number): ObservedCrash {
   return { fingerprint, worker, agoMs: Math.round(nowMs - crashedAtMs), sentAgoMs: sentAtMs === undefined ? undefined : Math.round(nowMs - sentAtMs) }
 }
-
-/** Equal for a repeated request, whatever its id: hashes the caller's address, method, host, path and body. */
-function fingerprintOf ({ callerAddress, method, host, path, body }: RoutedRequest): string {
-  return createHash('sha256').update(`${callerAddress} ${method} ${host} ${path}\n`).update(body).digest('base64url')
-}
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -237,6 +237,7 @@
       route: this._route,
       request,
       worker,
+      isSuspect: this._suspectTurn !== undefined,
       onReleased: release,
       call: createWorkerCall({
         request,
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -16,6 +16,7 @@
 import { NodeDirectory } from './nodeDirectory.js'
 import { NoticeExchange } from './noticeExchange.js'
 import { NodeGauges } from './nodeGauges.js'
+import { OpenRequestReporter } from './openRequestReporter.js'
 import { OwnRates } from './ownRates.js'
 import { RelayClient } from './paths/relayClient.js'
 import { RelayServer } from './paths/relayServer.js'
@@ -27,6 +28,7 @@
 import { PeerMesh, type PeerRequester, type PeerResponder } from './peerMesh.js'
 import { PlacementCoordinator } from './placementCoordinator.js'
 import { WorkerNoticeReporter } from './workerNoticeReporter.js'
+import { ReportedRequests, senderKeyOf } from './reportedRequests.js'
 import { RouteDurations } from './routeDurations.js'
 import { startRoutedCall } from './startRoutedCall.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
@@ -100,6 +102,8 @@
   private readonly _streamOrigins: StreamOrigins
   private readonly _clusterView: ClusterView
   private readonly _poisonRequestDetector: PoisonRequestDetector
+  private readonly _openRequests: OpenRequestReporter
+  private readonly _reportedRequests = new ReportedRequests()
   private readonly _suspectGate: SuspectGate
   private readonly _statusBroadcast: StatusBroadcast
   private readonly _callDependencies: RoutedCallDependencies
@@ -146,6 +150,7 @@
         this._discovery.handleConnected(peer)
         this._noticeExchange.tell(peer)
         this._tellCrashes(peer)
+        this._openRequests.handleConnected(peer)
       },
       onDisconnected: (peer, detail) => {
         write('peerLost', { peer, detail })
@@ -169,6 +174,7 @@
       onChanged: () => this._statusBroadcast.send(),
       write
     })
+    this._openRequests = new OpenRequestReporter({ node, incarnation: this._self.incarnation, directory: this._directory, mesh: this._mesh })
     this._suspectGate = new SuspectGate({ node, directory: this._directory, mesh: this._mesh, write })
     this._poisonRequestDetector = new PoisonRequestDetector({
       topic: NODE_TOPIC,
@@ -177,6 +183,9 @@
       onCrashObserved: () => this._statusBroadcast.send(),
       isRegistered: ({ workerId, startedAtMs }) => this._registry.find(workerId)?.startedAtMs === startedAtMs,
       probe: async worker => await gateway.probe(worker),
+      reporter: this._openRequests,
+      reported: this._reportedRequests,
+      isSenderAlive: sender => this._isAlive(sender),
       write
     })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._partitionHost, mesh: this._mesh, directory: this._directory, write })
@@ -259,6 +268,7 @@
       turns: this._turns,
       poisonRequestDetector: this._poisonRequestDetector,
       suspectGate: this._suspectGate,
+      openRequests: this._openRequests,
       metrics: this.metrics,
       plannedStop: this._plannedStop,
       nodeCount: () => this._directory.alive.length + 1,
@@ -349,6 +359,7 @@
     this._partitionHost.close()
     this._coordinator.dispose()
     this._poisonRequestDetector.dispose()
+    this._openRequests.dispose()
     this._streamOrigins.dispose()
     await Promise.all([this._mesh.close(), this._links.close(), this._options.log.close()])
   }
@@ -380,9 +391,15 @@
     // One node is enough to remove records for all.
     if (this._directory.alive.every(({ from }) => from.node > this._self.node)) this._poisonRequestDetector.records.removeExpired()
     this._directory.removeInactive()
+    this._reportedRequests.removeInactive(sender => this._isAlive(sender))
     this._noticeExchange.removeInactive()
   }
 
+  /** True if a peer lives under the incarnation that a sender key names. */
+  private _isAlive (sender: string): boolean {
+    return this._directory.alive.some(({ from: { node, incarnation } }) => senderKeyOf({ from: node, incarnation }) === sender)
+  }
+
   private _composeStatus (): Omit<NodeStatus, 'periodMs' | 'peers'> {
     // Nodes of earlier builds read no records of crashes.
     const includesQuarantined = this._directory.alive.some(({ readsCrashRecords }) => readsCrashRecords !== true)
@@ -425,6 +442,7 @@
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
       case 'rateLimit': return this._noticeExchange.apply([request.report])
       case 'notices': return this._noticeExchange.apply(request.reports)
+      case 'requestsOpen': return this._reportedRequests.apply(request)
       case 'crashReport': return this._poisonRequestDetector.applyReport(request.report)
       case 'topic': return respond(this._clusterView.answerTopic(request.topic, request.knownDigest), true)
     }
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -3,6 +3,7 @@
 import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerCall } from '../../common/routed/workerClient.js'
 import type { RoutedRequest } from '../../common/routed/routedRequest.js'
 import { steadyNowMs } from '../steadyClock.js'
+import type { OpenRequest } from './openRequestReporter.js'
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
 
 const FIRST_SERVER_ERROR_STATUS = 500
@@ -18,6 +19,7 @@
   route: Route
   worker: WorkerRegistration
   call: WorkerCall
+  isSuspect: boolean
   /** Called once when the attempt has ended. */
   onReleased?: (end: PlacementEnd) => void
   listener: Omit<IWorkerCallListener, 'onFailed'> & { onFailed: (outcome: AttemptOutcome, detail: string) => void }
@@ -34,14 +36,16 @@
 export class WorkerAttempt {
   private readonly _startedMs = steadyNowMs()
   private _openCall: IOpenWorkerCall | undefined
+  private readonly _openRequest: OpenRequest
   private _noResponseTimer: NodeJS.Timeout | undefined
   /** Highest severity of the failures so far; 0 without any. */
   private _failureSeverity = 0
 
   constructor (private readonly _options: WorkerAttemptOptions) {
-    const { dependencies, request: { prompt }, route, worker, call, listener } = _options
+    const { dependencies, request, route, worker, call, isSuspect, listener } = _options
     dependencies.statistics.beginRequest(worker.workerId)
-    dependencies.statistics.recordPrompt(worker.workerId, prompt)
+    dependencies.statistics.recordPrompt(worker.workerId, request.prompt)
+    this._openRequest = dependencies.openRequests.begin(request, worker, { sentAtMs: this._startedMs, isSuspect })
     const noResponseMs = Math.max(NO_RESPONSE_MS, NO_RESPONSE_DURATIONS * dependencies.durations.expectedMs(route))
     this._noResponseTimer = setTimeout(() => this._recordFailure(1), noResponseMs)
     this._openCall = dependencies.workers.call(call, {
@@ -140,11 +144,12 @@
 
   private _reportUnanswered (isBroken: boolean): void {
     const { dependencies: { poisonRequestDetector }, request, worker } = this._options
-    void poisonRequestDetector.handleUnanswered({ request, worker, sentAtMs: this._startedMs, isBroken })
+    void poisonRequestDetector.handleUnanswered({ request, worker, sentAtMs: this._startedMs, isBroken, open: this._openRequest })
   }
 
   private _end (durationRatio?: number): void {
     clearTimeout(this._noResponseTimer)
+    if (this._openRequest.watchedUntilMs === undefined) this._options.dependencies.openRequests.end(this._openRequest)
     this._options.dependencies.statistics.endRequest(this.worker.workerId, durationRatio)
     this._options.onReleased?.({ durationRatio, failureSeverity: this._failureSeverity === 0 ? undefined : this._failureSeverity })
   }
--- a/packages/node/src/node/routed/workerEndWatch.ts
+++ b/packages/node/src/node/routed/workerEndWatch.ts
@@ -1,6 +1,7 @@
 /** Remembers requests that got no complete answer from a worker, until it is known whether that worker has ended. */
 import type { WorkerRegistration } from '@trefoilshunt/core'
 import { steadyNowMs } from '../steadyClock.js'
+import type { OpenRequest } from './openRequestReporter.js'
 
 /** A worker whose connection broke may have ended; its entry tells within a few heartbeats, or when the log is back. */
 const BROKEN_WATCH_MS = 60_000
@@ -22,6 +23,13 @@
   endedAtMs: number
   /** True if the connection broke, false if the request was given up. */
   isBroken: boolean
+  /** The request in the reports to a peer. */
+  open?: OpenRequest
+}
+
+/** Time for which the end of the worker counts against the request. */
+export function watchTimeMs ({ isBroken }: Pick<UnansweredRequest, 'isBroken'>): number {
+  return isBroken ? BROKEN_WATCH_MS : GIVEN_UP_WATCH_MS
 }
 
 /** Why a worker is taken for crashed. */
@@ -33,7 +41,9 @@
   /** Its entry was removed, and it had not announced that it leaves. */
   EntryRemoved: 'entryRemoved',
   /** Another node observed the crash. */
-  PeerReport: 'peerReport'
+  PeerReport: 'peerReport',
+  /** A peer had reported that the request was at the worker, and the worker ended. */
+  ReportedOpen: 'reportedOpen'
 } as const
 export type CrashEvidence = typeof CrashEvidence[keyof typeof CrashEvidence]
 
@@ -70,6 +80,11 @@
     if (this._requests.size > MAX_WATCHED) this._requests.delete(this._requests.values().next().value as UnansweredRequest)
   }
 
+  /** True if a worker is known to have crashed. */
+  hasEnded (lifetime: string): boolean {
+    return this._ends.has(lifetime)
+  }
+
   /** Notes that a worker has crashed; returns the requests that may have been at it, once each. */
   end (lifetime: string, evidence: CrashEvidence): UnansweredRequest[] {
     if (!this._ends.has(lifetime)) this._ends.set(lifetime, { evidence, atMs: steadyNowMs() })
@@ -100,7 +115,7 @@
   private _removeExpired (): void {
     const nowMs = steadyNowMs()
     for (const request of this._requests) {
-      if (nowMs - request.endedAtMs > (request.isBroken ? BROKEN_WATCH_MS : GIVEN_UP_WATCH_MS)) this._requests.delete(request)
+      if (nowMs - request.endedAtMs > watchTimeMs(request)) this._requests.delete(request)
     }
     for (const [lifetime, { atMs }] of this._ends) {
       if (nowMs - atMs > END_MEMORY_MS) this._ends.delete(lifetime)
--- a/packages/node/test/node/routed/poisonRequestDetector.test.ts
+++ b/packages/node/test/node/routed/poisonRequestDetector.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert'
 import { ProbeResult, SeededRandom, SuspectRequests } from '@trefoilshunt/core'
 import { PoisonRequestDetector } from '../../../src/node/routed/poisonRequestDetector.js'
+import { ReportedRequests } from '../../../src/node/routed/reportedRequests.js'
 import { FakeLog } from './fakeLog.js'
 
 const CRASHES = [9_000, 6_000, 3_000].map((agoMs, index) => ({ fingerprint: 'f', worker: `w${index}@1`, agoMs, sentAgoMs: agoMs + 20 }))
@@ -14,6 +15,9 @@
     random: new SeededRandom(1),
     onCrashObserved: () => {},
     isRegistered: () => false,
+    reporter: { end: () => {}, endUnanswered: () => {}, endServed: () => {} },
+    reported: new ReportedRequests(),
+    isSenderAlive: () => false,
     probe: async () => ProbeResult.Silent,
     write: () => {}
   })
