--- a/packages/node/src/node/routed/poisonRequestDetector.ts
+++ b/packages/node/src/node/routed/poisonRequestDetector.ts
@@ -25,6 +25,8 @@
 /** A quarantine of which the log has no record is recorded by every node that knows of it, each after a random part of this time. */
 const RECORD_SPREAD_MS = 2_000
 const CHECK_PERIOD_MS = 1_000
+/** Longer than a read of the log waits for a change. */
+const LIST_FRESH_MS = 3_500
 /** A peer that is lost within this time after the end of a worker may not have told of its requests there. */
 const REPORTED_WATCH_MS = 60_000
 const MAX_CLEARED_REQUESTS = 1_000
@@ -57,6 +59,8 @@
   onCrashObserved: () => void
   /** True if the worker has an entry for this lifetime. */
   isRegistered: (worker: WorkerRegistration) => boolean
+  /** Time since the list of workers was last read. */
+  listSilenceMs: () => number
   /** Connects to a worker: the address of a crashed one may refuse connections for seconds. */
   probe: (worker: WorkerRegistration) => Promise<ProbeResult>
   /** Tells a peer which requests are at workers. */
@@ -102,8 +106,11 @@
       write
     })
     this._timer = setInterval(() => {
+      if (this._options.listSilenceMs() > LIST_FRESH_MS) this._watch.extend(CHECK_PERIOD_MS)
       this._countReported()
       this._recordQuarantines()
+      const droppedCount = this._watch.takeDroppedCount()
+      if (droppedCount > 0) write('suspicionsDropped', { requests: droppedCount, detail: 'too many requests without an answer' })
     }, CHECK_PERIOD_MS)
   }
 
@@ -179,9 +186,13 @@
   /** Handles a worker whose entry was removed or has changed; `current` is the entry that there is now. */
   handleWorkerLost (previous: WorkerRegistration, current: WorkerRegistration | undefined, isPlanned: boolean): void {
     const lifetime = workerLifetimeOf(previous)
-    if (current !== undefined && current.startedAtMs !== previous.startedAtMs) this._handleEnd(lifetime, CrashEvidence.Restarted)
-    else if (isPlanned) this._watch.forget(lifetime)
-    else if (current === undefined) this._handleEnd(lifetime, CrashEvidence.EntryRemoved)
+    if (current !== undefined) {
+      if (current.startedAtMs !== previous.startedAtMs) this._handleEnd(lifetime, CrashEvidence.Restarted)
+    } else if (isPlanned) {
+      this._handlePlannedEnd(lifetime)
+    } else {
+      this._handleEnd(lifetime, CrashEvidence.EntryRemoved)
+    }
   }
 
   /** Clears a suspect request, because a worker has served it without a crash. */
@@ -212,6 +223,13 @@
     return this._suspects.hasCrashes(fingerprint) ? fingerprint : undefined
   }
 
+  /** A worker that leaves serves for seconds, so that a connection that broke before may tell of a crash; a request that was given up does not. */
+  private _handlePlannedEnd (lifetime: string): void {
+    const broken = this._watch.forget(lifetime).filter(({ isBroken }) => isBroken)
+    for (const request of broken) this._observe(request, CrashEvidence.EntryRemoved)
+    if (broken.length > 0) this._options.onCrashObserved()
+  }
+
   private _handleEnd (lifetime: string, evidence: CrashEvidence): void {
     const isKnown = this._watch.hasEnded(lifetime)
     const requests = this._watch.end(lifetime, evidence)
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -182,6 +182,7 @@
       random: container.resolve<IRandom>(IRandom),
       onCrashObserved: () => this._statusBroadcast.send(),
       isRegistered: ({ workerId, startedAtMs }) => this._registry.find(workerId)?.startedAtMs === startedAtMs,
+      listSilenceMs: () => this._clusterView.workersSilenceMs,
       probe: async worker => await gateway.probe(worker),
       reporter: this._openRequests,
       reported: this._reportedRequests,
--- a/packages/node/src/node/routed/workerEndWatch.ts
+++ b/packages/node/src/node/routed/workerEndWatch.ts
@@ -9,8 +9,10 @@
 const GIVEN_UP_WATCH_MS = 10_000
 /** A request may be given up after its worker is known to have ended. */
 const END_MEMORY_MS = 60_000
+/** Requests are watched for this long at most, however long the list of workers is silent. */
+const MAX_EXTENSION_MS = 60_000
 /** The oldest ones are forgotten when there are more. */
-const MAX_WATCHED = 2_000
+const MAX_WATCHED = 5_000
 const MAX_ENDS = 1_000
 
 /** A request that was sent to a worker and got no complete answer. */
@@ -25,6 +27,8 @@
   isBroken: boolean
   /** The request in the reports to a peer. */
   open?: OpenRequest
+  /** Time without news of the workers, in which the watch does not run out. */
+  extensionMs?: number
 }
 
 /** Time for which the end of the worker counts against the request. */
@@ -66,6 +70,7 @@
 export class WorkerEndWatch {
   private readonly _requests = new Set<UnansweredRequest>()
   private readonly _ends = new Map<string, WorkerEnd>()
+  private _droppedCount = 0
 
   get isEmpty (): boolean {
     return this._requests.size === 0
@@ -77,7 +82,21 @@
     const end = this._ends.get(request.worker)
     if (end !== undefined) return end
     this._requests.add(request)
-    if (this._requests.size > MAX_WATCHED) this._requests.delete(this._requests.values().next().value as UnansweredRequest)
+    if (this._requests.size <= MAX_WATCHED) return
+    this._requests.delete(this._requests.values().next().value as UnansweredRequest)
+    this._droppedCount++
+  }
+
+  /** Watches all requests longer, because nothing was heard of the workers meanwhile. */
+  extend (durationMs: number): void {
+    for (const request of this._requests) request.extensionMs = Math.min(MAX_EXTENSION_MS, (request.extensionMs ?? 0) + durationMs)
+  }
+
+  /** Number of requests since the last call that were no longer watched because there were too many. */
+  takeDroppedCount (): number {
+    const count = this._droppedCount
+    this._droppedCount = 0
+    return count
   }
 
   /** True if a worker is known to have crashed. */
@@ -115,7 +134,7 @@
   private _removeExpired (): void {
     const nowMs = steadyNowMs()
     for (const request of this._requests) {
-      if (nowMs - request.endedAtMs > watchTimeMs(request)) this._requests.delete(request)
+      if (nowMs - request.endedAtMs > watchTimeMs(request) + (request.extensionMs ?? 0)) this._requests.delete(request)
     }
     for (const [lifetime, { atMs }] of this._ends) {
       if (nowMs - atMs > END_MEMORY_MS) this._ends.delete(lifetime)
