--- a/packages/core/src/common/dispatch/serviceDispatch.ts
+++ b/packages/core/src/common/dispatch/serviceDispatch.ts
@@ -19,6 +19,8 @@
 
 /** Delay that the caller is advised to wait before it repeats a step that was not run. */
 const RETRY_AFTER_MS = 1_000
+const FIRST_SUCCESS_STATUS = 200
+const FIRST_REDIRECT_STATUS = 300
 const LOOKUP_TIMEOUT_MS = 2_000
 const LOOKUP_ATTEMPTS = 4
 const LOOKUP_RETRY_MS = 300
@@ -149,7 +151,7 @@
   private _handleEvent (run: ServiceRun, worker: WorkerInfo, event: BackendEvent): void {
     if (event.type === 'serviceDone') {
       this._outliers.recordSuccess(worker.worker)
-      this._quarantine.recordRequestSuccess(run.job.fingerprint)
+      if (isSuccess(event.result)) this._quarantine.recordRequestSuccess(run.job.fingerprint)
       this._finish(run, { type: 'done', result: event.result })
       return
     }
@@ -222,6 +224,11 @@
   }
 }
 
+/** Other answers don't show that the worker ran the request. */
+function isSuccess ({ status }: ServiceResult): boolean {
+  return status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECT_STATUS
+}
+
 /** A running service call. */
 interface ServiceRun {
   job: ServiceJob
