--- a/packages/node/src/node/routed/poisonRequestDetector.ts
+++ b/packages/node/src/node/routed/poisonRequestDetector.ts
@@ -96,7 +96,10 @@
       topic,
       log,
       onCrash: crash => this._addCrash(crash),
-      onCrashRemoved: (fingerprint, worker) => this._suspects.removeCrash(fingerprint, worker),
+      onCrashRemoved: (fingerprint, worker) => {
+        this._suspects.removeCrash(fingerprint, worker)
+        this._observed = this._observed.filter(crash => crash.fingerprint !== fingerprint || crash.worker !== worker)
+      },
       onQuarantine: fingerprint => this._applyQuarantine(fingerprint),
       onQuarantineRemoved: fingerprint => {
         this._suspects.release(fingerprint)
--- a/packages/node/test/node/routed/poisonRequestDetector.test.ts
+++ b/packages/node/test/node/routed/poisonRequestDetector.test.ts
@@ -96,4 +96,17 @@
   })
 })
 
+test('a crash that another node has cleared is not told to peers any more', async () => {
+  await VirtualTime.run(async time => {
+    const detector = createDetector()
+    const worker = createWorker('w1', 'v1')
+    await detector.handleUnanswered({ request: REQUEST, worker, sentAtMs: time.nowMs, isBroken: true })
+    detector.handleWorkerLost(worker, undefined, false)
+    const [{ fingerprint }] = detector.crashesToReport({ includesQuarantined: false })
+    detector.records.apply({ key: `crash/${fingerprint}/w1@1`, value: undefined })
+    assert.equal(detector.crashesToReport({ includesQuarantined: false }), [])
+    detector.dispose()
+  })
+})
+
 test.run()
