--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -4,12 +4,15 @@
 import { steadyNowMs } from '../steadyClock.js'
 import type { ClusterView } from './clusterView.js'
 import type { NodeDirectory } from './nodeDirectory.js'
+import type { OpenRequestReporter } from './openRequestReporter.js'
 import type { PartitionHost } from './partitionHost.js'
 import type { RelayClient } from './paths/relayClient.js'
 import type { RelayServer } from './paths/relayServer.js'
 import type { WorkerLinks } from './paths/workerLinks.js'
 import type { PlacementCoordinator } from './placementCoordinator.js'
 import type { PoisonRequestDetector } from './poisonRequestDetector.js'
+import type { ReportedRequests } from './reportedRequests.js'
+import type { SuspectGate } from './suspectGate.js'
 import type { StreamOrigins } from './streamOrigins.js'
 
 const LOOP_DELAY_RESOLUTION_MS = 20
@@ -27,6 +30,9 @@
   streamOrigins: StreamOrigins
   notices: IWorkerNotices
   poisonRequestDetector: PoisonRequestDetector
+  openRequests: OpenRequestReporter
+  reportedRequests: ReportedRequests
+  suspectGate: SuspectGate
 }
 
 /**
@@ -50,7 +56,7 @@
 
   /** Current values by name. */
   read (): Record<string, number> {
-    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, notices, poisonRequestDetector } = this._options
+    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, notices, poisonRequestDetector, openRequests, reportedRequests, suspectGate } = this._options
     const memory = process.memoryUsage()
     const cpu = process.cpuUsage()
     return {
@@ -71,6 +77,9 @@
       suspect_requests: poisonRequestDetector.suspectCount,
       quarantined_requests: poisonRequestDetector.quarantinedCount,
       unrecorded_crashes: poisonRequestDetector.records.waitingCount,
+      open_requests_reported: openRequests.size,
+      peer_requests_held: reportedRequests.size,
+      suspect_turns: suspectGate.size,
       stream_origins_held: streamOrigins.size,
       placements_open: coordinator.openCount,
       placements_queued: coordinator.queueLength,
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -252,7 +252,7 @@
       this._links.removeWorker(worker)
       write('workerLost', { worker: workerId, address, isDraining: this._registry.find(workerId)?.isDraining })
     })
-    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, notices: this._notices, poisonRequestDetector: this._poisonRequestDetector })
+    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, notices: this._notices, poisonRequestDetector: this._poisonRequestDetector, openRequests: this._openRequests, reportedRequests: this._reportedRequests, suspectGate: this._suspectGate })
     this._callDependencies = {
       zone,
       notices: this._notices,
