--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -46,6 +46,7 @@
   private _believedInFlight = 0
   /** Ends the turn of a suspect request; undefined without one. */
   private _suspectTurn: ((isAnswered: boolean) => void) | undefined
+  /** True if a worker may have got the request in the open turn. */
   private _isSentInTurn = false
   private _sentCount = 0
   private _unsentCount = 0
@@ -177,6 +178,7 @@
   private _endSuspectTurn (isAnswered: boolean): void {
     this._suspectTurn?.(isAnswered)
     this._suspectTurn = undefined
+    this._isSentInTurn = false
   }
 
   private _selectWorker (): void {
