Copies of a suspect request wait for its turn, and run side by side once a worker has served it

What callers see: equal requests of one caller, sent at the same moment, are refused although harmless, after a worker was lost under an earlier one. Change: a copy asks again while another one is at a worker, for up to a quarter of its time; after a success the node that grants turns lets all begin for two seconds, in which the end of the suspicion reaches the other nodes. After a turn without an answer copies are refused at once, as before.

--- a/packages/core/src/common/dispatch/suspectTurns.ts
+++ b/packages/core/src/common/dispatch/suspectTurns.ts
@@ -2,15 +2,36 @@
 
 /** The end of a worker becomes known within this time, so that a crash counts before the next turn. */
 const UNANSWERED_PAUSE_MS = 1_000
-/** Suggested wait while another turn is open. */
-const BUSY_RETRY_AFTER_MS = 500
+/** All nodes learn within this time that a worker has served the request, so that it is no longer suspect. */
+const SERVED_MEMORY_MS = 2_000
 /** The oldest one is forgotten when there are more. */
 const MAX_REQUESTS = 10_000
 
+/** How a turn ended. */
+export const SuspectTurnEnd = {
+  /** A worker served the request, which therefore doesn't crash workers. */
+  Served: 'served',
+  /** A worker answered in another way, or didn't get the request. */
+  NotHarmed: 'notHarmed',
+  /** The request was sent and got no answer. */
+  Unanswered: 'unanswered'
+} as const
+export type SuspectTurnEnd = typeof SuspectTurnEnd[keyof typeof SuspectTurnEnd]
+
+/** Whether a turn has begun. */
+export type SuspectTurnReply =
+  | { type: 'begun' }
+  /** Another turn is open. */
+  | { type: 'open' }
+  /** The latest turn brought no answer; none begins within `waitMs`. */
+  | { type: 'paused', waitMs: number }
+
 interface TurnState {
-  /** Absent during the pause after a turn. */
+  /** Absent after a turn. */
   turnId?: string
-  /** End of the open turn's time, or of the pause. */
+  /** True after a turn in which a worker served the request: turns begin side by side. */
+  isServed: boolean
+  /** End of the open turn's time, of the pause after it, or of the memory that the request was served. */
   untilMs: number
 }
 
@@ -26,9 +47,9 @@
  *
  * @example
  * const turns = new SuspectTurns()
- * turns.begin({ fingerprint: 'f', turnId: 'a' }, { durationMs: 1_000, nowMs }) // 0: the request may be sent to a worker
- * turns.begin({ fingerprint: 'f', turnId: 'b' }, { durationMs: 1_000, nowMs }) // 500: it is at a worker; time after which to ask again
- * turns.end({ fingerprint: 'f', turnId: 'a' }, { isAnswered: true, nowMs })
+ * turns.begin({ fingerprint: 'f', turnId: 'a' }, { durationMs: 1_000, nowMs }) // begun: the request may be sent to a worker
+ * turns.begin({ fingerprint: 'f', turnId: 'b' }, { durationMs: 1_000, nowMs }) // open: it is at a worker
+ * turns.end({ fingerprint: 'f', turnId: 'a' }, { end: SuspectTurnEnd.Served, nowMs })
  */
 export class SuspectTurns {
   private readonly _states = new Map<string, TurnState>()
@@ -38,22 +59,24 @@
     return this._states.size
   }
 
-  /** Begins a turn of at most `durationMs`. Returns 0, or the time after which to ask again if none can begin now. */
-  begin ({ fingerprint, turnId }: SuspectTurn, { durationMs, nowMs }: { durationMs: number, nowMs: number }): number {
+  /** Begins a turn of at most `durationMs`, unless another one is open or brought no answer a moment ago. */
+  begin ({ fingerprint, turnId }: SuspectTurn, { durationMs, nowMs }: { durationMs: number, nowMs: number }): SuspectTurnReply {
     this._removeExpired(nowMs)
     const state = this._states.get(fingerprint)
-    if (state !== undefined && state.turnId !== turnId) return state.turnId === undefined ? state.untilMs - nowMs : BUSY_RETRY_AFTER_MS
+    if (state?.isServed === true) return { type: 'begun' }
+    if (state !== undefined && state.turnId !== turnId) return state.turnId === undefined ? { type: 'paused', waitMs: state.untilMs - nowMs } : { type: 'open' }
     // A turn of which nothing is heard any more has brought no answer.
-    this._states.set(fingerprint, { turnId, untilMs: nowMs + durationMs + UNANSWERED_PAUSE_MS })
+    this._states.set(fingerprint, { turnId, isServed: false, untilMs: nowMs + durationMs + UNANSWERED_PAUSE_MS })
     if (this._states.size > MAX_REQUESTS) this._states.delete(this._states.keys().next().value as string)
-    return 0
+    return { type: 'begun' }
   }
 
-  /** Ends a turn; the next one can begin at once if the worker answered or did not get the request. Does nothing for a turn that is not open. */
-  end ({ fingerprint, turnId }: SuspectTurn, { isAnswered, nowMs }: { isAnswered: boolean, nowMs: number }): void {
+  /** Ends a turn. Does nothing for a turn that is not open. */
+  end ({ fingerprint, turnId }: SuspectTurn, { end, nowMs }: { end: SuspectTurnEnd, nowMs: number }): void {
     if (this._states.get(fingerprint)?.turnId !== turnId) return
-    if (isAnswered) this._states.delete(fingerprint)
-    else this._states.set(fingerprint, { untilMs: nowMs + UNANSWERED_PAUSE_MS })
+    if (end === SuspectTurnEnd.NotHarmed) this._states.delete(fingerprint)
+    else if (end === SuspectTurnEnd.Served) this._states.set(fingerprint, { isServed: true, untilMs: nowMs + SERVED_MEMORY_MS })
+    else this._states.set(fingerprint, { isServed: false, untilMs: nowMs + UNANSWERED_PAUSE_MS })
   }
 
   private _removeExpired (nowMs: number): void {
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -1,5 +1,5 @@
 /** Messages between the nodes that serve routed requests. Sent as MessagePack, because they carry prompts and answers as bytes. */
-import { type CachedPart, type GrantRequest, hash32, type KeyedRecord, type PlacementEnd, type PlacementRequest, type ProbeResult, type WorkerNotice, type RetainedTurn, type TurnEnd } from '@trefoilshunt/core'
+import { type CachedPart, type GrantRequest, hash32, type KeyedRecord, type PlacementEnd, type PlacementRequest, type ProbeResult, type WorkerNotice, type RetainedTurn, type SuspectTurnEnd, type SuspectTurnReply, type TurnEnd } from '@trefoilshunt/core'
 import type { CallFailure, WorkerAnswerHead, WorkerCall } from './workerClient.js'
 
 /** How a node can be reached. */
@@ -173,8 +173,8 @@
   | { type: 'requestsOpen' } & RequestReport
   /** Requests a turn of a suspect request, which may be sent to one worker at a time. */
   | { type: 'beginSuspect', fingerprint: string, turnId: string, durationMs: number }
-  /** Ends a turn; `isAnswered` if a worker has answered or did not get the request. Gets no reply. */
-  | { type: 'endSuspect', fingerprint: string, turnId: string, isAnswered: boolean }
+  /** Ends a turn. Gets no reply. */
+  | { type: 'endSuspect', fingerprint: string, turnId: string, end: SuspectTurnEnd }
   /** Reports what a worker says to its coordinator. Gets no reply. */
   | { type: 'rateLimit', report: WorkerNotice }
   /** Requests a turn from the owner of the program's partition; `isKept` if the turn will be retained. */
@@ -197,8 +197,7 @@
   /** The live nodes that the peer knows, itself included. */
   | { type: 'nodeList', nodes: NodeAddress[] }
   | { type: 'workerProbed', result: ProbeResult }
-  /** `waitMs` is 0 if the turn has begun, else the time after which to ask again. */
-  | { type: 'suspectTurn', waitMs: number }
+  | { type: 'suspectTurn', turn: SuspectTurnReply }
   | GrantReply
   | EndReply
   | PlaceReply
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -1,6 +1,6 @@
 /** Handles one routed request: obtains the grant of its turn, sends it to workers, forwards the answer and reports the turn's end to the owner. */
 import {
-  AttemptOutcome, type GrantRequest, type LogFields, type NextAction, type PlacementEnd, resolveNextAction, type Route, type RoutedService, RouteKind, type TurnEnd, type WorkerRegistration
+  AttemptOutcome, type GrantRequest, type LogFields, type NextAction, type PlacementEnd, resolveNextAction, type Route, type RoutedService, RouteKind, SuspectTurnEnd, type TurnEnd, type WorkerRegistration
 } from '@trefoilshunt/core'
 import { type IAnswerSink, type Refusal, RefusalReason, type RoutedRequest } from '../../common/routed/routedRequest.js'
 import type { WorkerAnswerHead } from '../../common/routed/workerClient.js'
@@ -20,6 +20,11 @@
 const OWNER_RETRY_AFTER_MS = 300
 /** Retry-after while it isn't known which software version began the caller's stream, for example while peers that know it reconnect. */
 const ORIGIN_RETRY_AFTER_MS = 300
+/** A suspect request that is at a worker asks for a turn again after this time, then after twice as long, while that is at most a share of the time left. */
+const FIRST_TURN_PAUSE_MS = 20
+const TURN_PAUSE_SHARE = 0.25
+/** Retry-after of a suspect request whose turn does not come in time. */
+const OPEN_TURN_RETRY_AFTER_MS = 500
 /** Retry-after of requests that a stopping node refuses; other nodes serve them at once. */
 const STOPPING_RETRY_AFTER_MS = 20
 /** Share of the remaining time for which a request may wait for the owner of its program. */
@@ -45,9 +50,10 @@
   /** Requests in flight at the worker of the latest attempt, as this node knew them when it chose the worker. */
   private _believedInFlight = 0
   /** Ends the turn of a suspect request; undefined without one. */
-  private _suspectTurn: ((isAnswered: boolean) => void) | undefined
+  private _suspectTurn: ((end: SuspectTurnEnd) => void) | undefined
   /** True if a worker may have got the request in the open turn. */
   private _isSentInTurn = false
+  private _turnPauseMs = FIRST_TURN_PAUSE_MS
   private _sentCount = 0
   private _unsentCount = 0
   private _mayHaveRun = false
@@ -166,17 +172,22 @@
   private async _beginSuspectTurn (fingerprint: string): Promise<void> {
     const turn = await this._dependencies.suspectGate.begin(fingerprint, { requestId: this._request.requestId, durationMs: this._timeLeftMs })
     if (this._isDone) {
-      if (turn.type === 'granted') turn.end(true)
-    } else if (turn.type === 'busy') {
-      this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'the request may crash workers and is at one', RefusalReason.Quarantined, turn.retryAfterMs)
-    } else {
+      if (turn.type === 'begun') turn.end(SuspectTurnEnd.NotHarmed)
+    } else if (turn.type === 'begun') {
       this._suspectTurn = turn.end
       this._startAttempt()
+    } else if (turn.type === 'open' && this._turnPauseMs < this._timeLeftMs * TURN_PAUSE_SHARE) {
+      // A worker may serve it, so that it is no longer suspect.
+      setTimeout(() => { if (!this._isDone) this._startAttempt() }, this._turnPauseMs)
+      this._turnPauseMs *= 2
+    } else {
+      const retryAfterMs = turn.type === 'open' ? OPEN_TURN_RETRY_AFTER_MS : turn.waitMs
+      this._endWithoutAnswer({ type: this._mayHaveRun ? 'unknown' : 'notRun' }, 'the request may crash workers and is at one', RefusalReason.Quarantined, retryAfterMs)
     }
   }
 
-  private _endSuspectTurn (isAnswered: boolean): void {
-    this._suspectTurn?.(isAnswered)
+  private _endSuspectTurn (end: SuspectTurnEnd): void {
+    this._suspectTurn?.(end)
     this._suspectTurn = undefined
     this._isSentInTurn = false
   }
@@ -292,7 +303,7 @@
       return
     }
     this._sentCount++
-    this._endSuspectTurn(true)
+    this._endSuspectTurn(this._relay.provesService ? SuspectTurnEnd.Served : SuspectTurnEnd.NotHarmed)
     this._latestAttempt?.recordAnswer(this._relay.status, Math.max(1, this._relay.eventCount))
     if (this._relay.provesService) this._dependencies.poisonRequestDetector.recordServed(this._request)
     else if (!this._relay.isSelfDelimiting) this._latestAttempt?.watchWorker()
@@ -335,7 +346,7 @@
     if (attemptOutcome === AttemptOutcome.NotSent) this._unsentCount++
     else this._sentCount++
     if (attemptOutcome === AttemptOutcome.Unknown) this._mayHaveRun = true
-    this._endSuspectTurn(attemptOutcome !== AttemptOutcome.Unknown)
+    this._endSuspectTurn(attemptOutcome === AttemptOutcome.Unknown ? SuspectTurnEnd.Unanswered : SuspectTurnEnd.NotHarmed)
     if (worker !== undefined) this._excluded.add(worker.workerId)
     this._dependencies.metrics.count('attempts_failed_total', { fate: attemptOutcome })
     if (attemptOutcome === AttemptOutcome.Refused && worker !== undefined) {
@@ -434,7 +445,7 @@
   private _endCall (outcome: string, status: number, reason?: string, detail?: string): void {
     this._isDone = true
     this._unregister()
-    this._endSuspectTurn(!this._isSentInTurn)
+    this._endSuspectTurn(this._isSentInTurn ? SuspectTurnEnd.Unanswered : SuspectTurnEnd.NotHarmed)
     this._selector.cancel()
     this._relay.stop()
     clearTimeout(this._expiryTimer)
--- a/packages/node/src/node/routed/suspectGate.ts
+++ b/packages/node/src/node/routed/suspectGate.ts
@@ -1,5 +1,5 @@
 /** Asks for turns of suspect requests at the node that grants them, and grants those of which this node is asked. */
-import { type IDisposable, type LogFields, selectOwners, SuspectTurns } from '@trefoilshunt/core'
+import { type IDisposable, type LogFields, selectOwners, SuspectTurnEnd, SuspectTurns } from '@trefoilshunt/core'
 import type { PeerRequest } from '../../common/routed/routedPeerMessages.js'
 import { steadyNowMs } from '../steadyClock.js'
 import type { NodeDirectory } from './nodeDirectory.js'
@@ -9,10 +9,12 @@
 const REPLY_TIMEOUT_MS = 150
 
 export type SuspectTurnOutcome =
-  /** `end` must be called once; `isAnswered` if a worker has answered or did not get the request. */
-  | { type: 'granted', end: (isAnswered: boolean) => void }
-  /** The request is at a worker, or was a moment ago. */
-  | { type: 'busy', retryAfterMs: number }
+  /** `end` must be called once. */
+  | { type: 'begun', end: (end: SuspectTurnEnd) => void }
+  /** The request is at a worker. */
+  | { type: 'open' }
+  /** It was at a worker a moment ago, without an answer. */
+  | { type: 'paused', waitMs: number }
 
 export interface SuspectGateOptions {
   node: string
@@ -26,7 +28,7 @@
  *
  * @example
  * const turn = await gate.begin(fingerprint, { requestId, durationMs: 1_000 })
- * if (turn.type === 'granted') turn.end(true)
+ * if (turn.type === 'begun') turn.end(SuspectTurnEnd.Served)
  */
 export class SuspectGate {
   private readonly _turns = new SuspectTurns()
@@ -48,11 +50,11 @@
     const guard = this._guardOf(fingerprint)
     if (guard === node) return this._beginHere(turn, durationMs)
     const reply = await mesh.requestOnce(guard, { type: 'beginSuspect', ...turn, durationMs: Math.ceil(durationMs) }, REPLY_TIMEOUT_MS)
-    const end = (isAnswered: boolean): void => mesh.notify(guard, { type: 'endSuspect', ...turn, isAnswered })
-    if (reply?.type === 'suspectTurn') return reply.waitMs === 0 ? { type: 'granted', end } : { type: 'busy', retryAfterMs: reply.waitMs }
+    const end = (turnEnd: SuspectTurnEnd): void => mesh.notify(guard, { type: 'endSuspect', ...turn, end: turnEnd })
+    if (reply?.type === 'suspectTurn') return reply.turn.type === 'begun' ? { type: 'begun', end } : reply.turn
     write('suspectGuardSilent', { requestId, fingerprint, guard })
     // The request for a turn may still arrive.
-    end(true)
+    end(SuspectTurnEnd.NotHarmed)
     return this._beginHere(turn, durationMs)
   }
 
@@ -60,16 +62,16 @@
   handle (request: PeerRequest, respond: PeerResponder, requester: PeerRequester): boolean {
     if (request.type === 'beginSuspect') {
       const { fingerprint, turnId, durationMs } = request
-      const waitMs = this._turns.begin({ fingerprint, turnId }, { durationMs, nowMs: steadyNowMs() })
-      if (waitMs === 0) {
+      const turn = this._turns.begin({ fingerprint, turnId }, { durationMs, nowMs: steadyNowMs() })
+      if (turn.type === 'begun') {
         this._holders.get(turnId)?.dispose()
-        this._holders.set(turnId, requester.onDidClose(() => this._end({ fingerprint, turnId }, false)))
+        this._holders.set(turnId, requester.onDidClose(() => this._end({ fingerprint, turnId }, SuspectTurnEnd.Unanswered)))
       }
-      respond({ type: 'suspectTurn', waitMs }, true)
+      respond({ type: 'suspectTurn', turn }, true)
       return true
     }
     if (request.type !== 'endSuspect') return false
-    this._end(request, request.isAnswered)
+    this._end(request, request.end)
     return true
   }
 
@@ -79,13 +81,13 @@
   }
 
   private _beginHere (turn: { fingerprint: string, turnId: string }, durationMs: number): SuspectTurnOutcome {
-    const waitMs = this._turns.begin(turn, { durationMs, nowMs: steadyNowMs() })
-    return waitMs === 0 ? { type: 'granted', end: isAnswered => this._end(turn, isAnswered) } : { type: 'busy', retryAfterMs: waitMs }
+    const reply = this._turns.begin(turn, { durationMs, nowMs: steadyNowMs() })
+    return reply.type === 'begun' ? { type: 'begun', end: end => this._end(turn, end) } : reply
   }
 
-  private _end ({ fingerprint, turnId }: { fingerprint: string, turnId: string }, isAnswered: boolean): void {
+  private _end ({ fingerprint, turnId }: { fingerprint: string, turnId: string }, end: SuspectTurnEnd): void {
     this._holders.get(turnId)?.dispose()
     this._holders.delete(turnId)
-    this._turns.end({ fingerprint, turnId }, { isAnswered, nowMs: steadyNowMs() })
+    this._turns.end({ fingerprint, turnId }, { end, nowMs: steadyNowMs() })
   }
 }
