Worker client: an answer whose connection was reset is broken

Cause: when a reset arrives together with the last bytes, libuv reports the hang-up after a partial read as an end, so that Node.js emits 'end' without an error. The guard of the connection took that for an orderly end.

Evidence: plain sockets, reader busy for 5 ms: 6 of 6 resets arrive as 'end' with all bytes, and the kernel then knows no peer (ENOTCONN). A low-water mark of one byte for reads, tried first, changes nothing.

Change: at the end of a connection the guard checks that the connection still exists in the other direction, and reports the answer as broken otherwise. Framed answers end with their last byte and stay whole.

--- a/packages/node/src/node/boundedClient.ts
+++ b/packages/node/src/node/boundedClient.ts
@@ -100,6 +100,8 @@
   private _answerAtBytes = 0
   private _isInCall = false
   private _hasAnswered = false
+  /** True once the current connection was reset and Node.js reported an orderly end. */
+  private _isReset = false
 
   constructor (private readonly _maxAnswerBytes: number, private readonly _onStrayBytes?: (detail: string) => void) {}
 
@@ -109,7 +111,9 @@
     this._progressAtBytes = 0
     this._answerAtBytes = 0
     this._hasAnswered = false
+    this._isReset = false
     socket.on('readable', () => this._check(socket))
+    socket.once('end', () => { if (socket === this._socket) this._isReset = isDisconnected(socket) })
   }
 
   /** True once an answer has ended on the current connection. */
@@ -133,6 +137,7 @@
   get failure (): Error | undefined {
     const socket = this._socket
     if (socket?.errored != null) return socket.errored
+    if (this._isReset) return new ConnectionLostError('the connection was reset')
     return socket?.destroyed === true && !socket.readableEnded ? new ConnectionLostError('the connection was closed') : undefined
   }
 
@@ -155,6 +160,17 @@
   }
 }
 
+/**
+ * True if the connection does not exist any more. Must be called while the end of the connection is reported, and the address must not
+ * have been read before: Node.js caches it.
+ *
+ * A reset that arrives together with the last bytes is reported as an end (libuv takes the hang-up after a partial read for one). After an
+ * orderly end the connection still exists in the other direction.
+ */
+function isDisconnected (socket: Socket): boolean {
+  return socket.remoteAddress === undefined
+}
+
 /** Reports the progress of one answer to the guard of its connection and passes everything on, except informational heads. */
 class GuardedHandler implements Dispatcher.DispatchHandler {
   private _informationalHeadCount = 0
