Turns: a chain is retained while a turn that continues it runs

Cause: the retention of a chain was extended at the end of the turn that continues it. While that turn ran, the owner removed the turns before it. The same could happen to an imported chain: it was appended without waiting, and an owner that took over before the turn's end did not have it.

Change: a grant retains the chain for the retention of its last turn, or for the time that the request has left. The answer of a turn that continues an imported chain is held back until the chain is in the log.

--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -20,6 +20,8 @@
   budgetTokens?: number
   /** The most tokens that the turn may generate. */
   maxTokens: number
+  /** Time after which the turn has ended, counted from the decision; absent from nodes of earlier builds. */
+  timeLeftMs?: number
 }
 
 /** Decision on a turn. */
@@ -115,7 +117,7 @@
     return budgetTokens === undefined || this._ledger.isCovered({ programId, requestId, budgetTokens, maxTokens })
   }
 
-  /** Decides whether a turn may run, and reserves its tokens. */
+  /** Decides whether a turn may run, reserves its tokens and retains the turns that it continues. */
   grant (request: GrantRequest, nowMs: number): GrantDecision {
     const { programId, requestId, previousTurnId, prompt, budgetTokens, maxTokens } = request
     const chain = previousTurnId === undefined ? [] : this._turns.chainOf(previousTurnId)
@@ -126,6 +128,7 @@
       if (reservation === TokenReservation.Spent) return { type: 'spent' }
       if (reservation === TokenReservation.Extended) records = this._accountRecords(programId, nowMs)
     }
+    this._retainChain(chain, request, nowMs)
     return { type: 'granted', chain, records, cached: this._promptCache.find(prompt) }
   }
 
@@ -178,6 +181,12 @@
     return records
   }
 
+  /** Retains the chain until the turn that continues it has ended; its end then retains the chain further. */
+  private _retainChain (chain: readonly RetainedTurn[], { timeLeftMs = 0 }: GrantRequest, nowMs: number): void {
+    const previousTurn = chain.at(-1)
+    if (previousTurn !== undefined) this._turns.retain(previousTurn.turnId, nowMs + Math.max(previousTurn.keepMs, timeLeftMs))
+  }
+
   private _restoreAccount (programId: string, account: ProgramAccount, nowMs: number): void {
     this._ledger.restore(programId, account)
     this._accountChangedAtMs.set(programId, nowMs)
--- a/packages/core/src/common/turns/turnTree.ts
+++ b/packages/core/src/common/turns/turnTree.ts
@@ -65,6 +65,11 @@
     this._extendExpiry(turn.turnId, expiresAtMs)
   }
 
+  /** Retains a turn and the chain before it until `untilMs`, if they would otherwise be removed earlier. */
+  retain (turnId: string, untilMs: number): void {
+    this._extendExpiry(turnId, untilMs)
+  }
+
   /** The turns from the first to `turnId`; undefined when one of them is not held or the chain is circular. */
   chainOf (turnId: string): RetainedTurn[] | undefined {
     const chain: RetainedTurn[] = []
--- a/packages/core/test/common/turns/partitionState.test.ts
+++ b/packages/core/test/common/turns/partitionState.test.ts
@@ -165,6 +165,34 @@
   assert.is(log.size(), 0)
 })
 
+// Guards against a 404 for a completed turn, because earlier turns of its chain expired while it ran.
+test('a chain is retained from the grant of a turn that continues it until the retention of that turn has ended', () => {
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  state.recordEnd(createEnd('a', 0, createTurn('a')), 0)
+  state.recordEnd(createEnd('b', 0, createTurn('b', 'a')), 100)
+  const request = { programId: 'p', previousTurnId: 'b', prompt: [], maxTokens: 1, timeLeftMs: 3_000 }
+  for (const requestId of ['c', 'd']) assert.is(state.grant({ ...request, requestId }, 1_090).type, 'granted')
+  assert.equal(state.expire(4_080), [], 'the turns may still run')
+  state.recordEnd(createEnd('c', 0, createTurn('c', 'b')), 4_080)
+  state.expire(4_600)
+  assert.is(state.chainOf('c')?.length, 3)
+  state.recordEnd(createEnd('d', 0, createTurn('d', 'b')), 4_600)
+  state.expire(5_590)
+  assert.is(state.chainOf('c'), undefined)
+  assert.is(state.chainOf('d')?.length, 3)
+  state.expire(5_600)
+  assert.is(state.turnCount, 0)
+})
+
+test('a chain that was imported from another partition is retained from the grant on as well', () => {
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
+  state.importTurns([createTurn('a'), createTurn('b', 'a')], 0)
+  assert.is(state.grant({ programId: 'q', requestId: 'c', previousTurnId: 'b', prompt: [], maxTokens: 1 }, 990).type, 'granted')
+  state.expire(1_900)
+  state.recordEnd({ ...createEnd('c', 0, createTurn('c', 'b')), programId: 'q' }, 1_900)
+  assert.is(state.chainOf('c')?.length, 3)
+})
+
 test('a grant names the worker that has cached the session, for a turn of the same session or of a sub-agent', () => {
   const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
   state.recordEnd({ ...createEnd('a', 0), prompt: [{ id: 'shared', tokens: 900 }, { id: 'own', tokens: 300 }] }, 0)
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -53,8 +53,8 @@
 /** Decision on a turn. */
 export type Grant =
   /**
-   * `recorded` resolves to true once the account's newest record is in the log, false when the partition was lost before.
-   * Undefined when no record of the account is on its way, so that nothing has to be waited for.
+   * `recorded` resolves to true once the newest record of the account and the imported turns of the chain are in the log, false when
+   * the partition was lost before. Undefined when no such record is on its way, so that nothing has to be waited for.
    */
   | { type: 'granted', chain: RetainedTurn[], cached: CachedPart[], recorded: Promise<boolean> | undefined }
   /** The budget doesn't hold the turn. */
@@ -85,6 +85,8 @@
   private readonly _pendingEnds = new Map<string, Promise<RecordOutcome>>()
   /** The newest pending append of each account, by program id. */
   private readonly _accountAppends = new Map<string, Promise<boolean>>()
+  /** Appends of imported turns that are not in the log yet, by turn id. */
+  private readonly _pendingImports = new Map<string, Promise<boolean>>()
 
   constructor (private readonly _options: PartitionOwnerOptions) {
     this.partition = _options.partition
@@ -208,7 +210,7 @@
     if (decision.type !== 'granted') return decision
     const { chain, records, cached } = decision
     if (records.length > 0) this._trackAccountAppend(request.programId, this._queue.append(records).then(outcome => outcome === 'recorded'))
-    return { type: 'granted', chain, cached, recorded: this._accountAppends.get(request.programId) }
+    return { type: 'granted', chain, cached, recorded: this._pendingAppendOf(request.programId, chain) }
   }
 
   /**
@@ -237,9 +239,17 @@
     return this._partitionState.chainOf(turnId)
   }
 
-  /** Adds turns of other partitions that a program of this one continues, and records them without waiting. */
+  /** Adds turns of other partitions that a turn of this one continues. That turn's answer is held back until they are in the log. */
   importTurns (chain: readonly RetainedTurn[]): void {
-    this._queue.appendLazily(this._partitionState.importTurns(chain, Date.now()))
+    const records = this._partitionState.importTurns(chain, Date.now())
+    if (records.length === 0) return
+    const recorded = this._queue.append(records).then(outcome => outcome === 'recorded')
+    for (const { turnId } of chain) this._pendingImports.set(turnId, recorded)
+    void recorded.then(() => {
+      for (const { turnId } of chain) {
+        if (this._pendingImports.get(turnId) === recorded) this._pendingImports.delete(turnId)
+      }
+    })
   }
 
   /** True when the log confirms that no other owner has taken over the partition; false when this owner is fenced or lost. */
@@ -316,6 +326,14 @@
     await delay(RECOVER_RETRY_MS)
   }
 
+  /** Resolves to true once the account and the chain of a turn are in the log; undefined when they are. */
+  private _pendingAppendOf (programId: string, chain: readonly RetainedTurn[]): Promise<boolean> | undefined {
+    const imports = new Set(chain.flatMap(({ turnId }) => this._pendingImports.get(turnId) ?? []))
+    const account = this._accountAppends.get(programId)
+    if (imports.size === 0) return account
+    return Promise.all([...imports, ...(account === undefined ? [] : [account])]).then(results => results.every(Boolean))
+  }
+
   private _trackAccountAppend (programId: string, recorded: Promise<boolean>): void {
     const tracked = recorded.finally(() => {
       if (this._accountAppends.get(programId) === tracked) this._accountAppends.delete(programId)
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -116,7 +116,7 @@
     if (program === undefined) return
     const { programId, budgetTokens } = program
     const previousTurnId = this._route.retainsTurns ? program.previousTurnId : undefined
-    const request: GrantRequest = { programId, requestId, previousTurnId, prompt: this._request.prompt, budgetTokens, maxTokens }
+    const request: GrantRequest = { programId, requestId, previousTurnId, prompt: this._request.prompt, budgetTokens, maxTokens, timeLeftMs: Math.ceil(this._timeLeftMs) }
     const startedMs = steadyNowMs()
     const outcome = await this._dependencies.turns.grant(request, this._route.retainsTurns, startedMs + this._timeLeftMs * GRANT_WAIT_SHARE)
     const tookMs = steadyNowMs() - startedMs
--- a/packages/node/test/node/routed/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/partitionOwner.test.ts
@@ -167,6 +167,23 @@
   assert.is(second.grant(createGrant('none', { previousTurnId: 'unheard-of' }), true).type, 'noSuchTurn')
 })
 
+// Guards against a chain that the next owner doesn't find, because the owner that imported it was lost after the grant.
+test('the answer of a turn that continues an imported chain is held back until the chain is in the log', async () => {
+  const log = new FakeLog()
+  const first = createOwner(log)
+  await first.recover()
+  const { turn } = createEnd('imported')
+  assert.ok(turn !== undefined)
+  first.importTurns([turn])
+  const grants = [createGrant('a', { previousTurnId: 'imported', budgetTokens: undefined }), createGrant('b', { programId: 'q', previousTurnId: 'imported', budgetTokens: undefined })].map(request => first.grant(request, true))
+  for (const grant of grants) assert.ok(grant.type === 'granted' && await grant.recorded)
+  first.lose('test')
+  const second = createOwner(log, { generation: 2 })
+  await second.recover()
+  assert.is(await second.end(createEnd('a', 'imported')), 'recorded')
+  assert.is(second.chainOf('a')?.length, 2)
+})
+
 test('an owner that closes withdraws the tokens that it had allowed ahead', async () => {
   const log = new FakeLog()
   const first = createOwner(log)
