Turns: retention is counted on the steady clock

Cause: the owner of a partition counted retention on the time of day.

Change: owners use the steady clock. Nothing of it has to survive a takeover: the next owner retains what it reads in full. The time in an account's record was never used; earlier builds require the field, so that it stays.

Tests: two of partitionOwner, a step of 120 s each way; both failed before.

--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -56,8 +56,8 @@
 }
 
 /**
- * Applies the records of one partition and decides on its turns. It has no clock and no I/O: the caller passes wall-clock
- * times in milliseconds and appends the returned records to the log.
+ * Applies the records of one partition and decides on its turns. It has no clock and no I/O: the caller passes the
+ * milliseconds of a clock that is never set, and appends the returned records to the log.
  *
  * @example
  * const decision = state.grant(request, nowMs)
@@ -196,7 +196,7 @@
     const account = this._ledger.find(programId)
     if (account === undefined) return []
     this._accountChangedAtMs.set(programId, nowMs)
-    return [encodeAccount(programId, account, nowMs)]
+    return [encodeAccount(programId, account)]
   }
 }
 
--- a/packages/core/src/common/turns/turnRecords.ts
+++ b/packages/core/src/common/turns/turnRecords.ts
@@ -20,17 +20,20 @@
 
 const ACCOUNT_PREFIX = 'p/'
 
+/** Field of an account's record that earlier builds require and don't use. */
+const UNUSED_TIME_MS = 0
+
 const packr = new Packr({ useRecords: false, mapsAsObjects: true })
 
 /** A record that was read from the log. */
 export type DecodedRecord =
-  | { type: 'account', programId: string, account: ProgramAccount, updatedAtMs: number }
+  | { type: 'account', programId: string, account: ProgramAccount }
   | { type: 'turnPart', turnId: string, index: number, count: number, bytes: Uint8Array }
 
-/** The record of a program's account. `updatedAtMs` is wall-clock time. */
-export function encodeAccount (programId: string, account: ProgramAccount, updatedAtMs: number): KeyedRecord {
+/** The record of a program's account. */
+export function encodeAccount (programId: string, account: ProgramAccount): KeyedRecord {
   const { usedTokens, openTurns, allowedTokens, budgetTokens } = account
-  const value = packr.pack({ p: programId, u: usedTokens, o: [...openTurns], a: allowedTokens, b: budgetTokens, w: updatedAtMs })
+  const value = packr.pack({ p: programId, u: usedTokens, o: [...openTurns], a: allowedTokens, b: budgetTokens, w: UNUSED_TIME_MS })
   return { key: accountKey(programId), value }
 }
 
@@ -62,9 +65,9 @@
   try {
     const fields = packr.unpack(value) as Record<string, unknown>
     if (typeof fields.p === 'string') {
-      const { p: programId, u: usedTokens, o: openTurns, a: allowedTokens, b: budgetTokens, w: updatedAtMs } = fields
-      if (!isAmount(usedTokens) || !isAmount(allowedTokens) || !isAmount(budgetTokens) || !isAmount(updatedAtMs) || !isOpenTurnList(openTurns)) return undefined
-      return { type: 'account', programId, account: { usedTokens, openTurns: new Map(openTurns), allowedTokens, budgetTokens }, updatedAtMs }
+      const { p: programId, u: usedTokens, o: openTurns, a: allowedTokens, b: budgetTokens } = fields
+      if (!isAmount(usedTokens) || !isAmount(allowedTokens) || !isAmount(budgetTokens) || !isOpenTurnList(openTurns)) return undefined
+      return { type: 'account', programId, account: { usedTokens, openTurns: new Map(openTurns), allowedTokens, budgetTokens } }
     }
     const { t: turnId, i: index, n: count, b: bytes } = fields
     if (typeof turnId !== 'string' || !(bytes instanceof Uint8Array)) return undefined
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -181,7 +181,7 @@
       this._options.write('accountOutOfOrder', { partition: this.partition, recordKey: key })
       return
     }
-    if (!this._partitionState.applyRecord(value, Date.now())) this._options.write('recordDamaged', { partition: this.partition, recordKey: key })
+    if (!this._partitionState.applyRecord(value, steadyNowMs())) this._options.write('recordDamaged', { partition: this.partition, recordKey: key })
   }
 
   /** Starts to grant turns, once all accounts are read. Turns that continue an unread one stay undecided until the history is complete. */
@@ -205,7 +205,7 @@
   /** Decides on a turn, which is recorded at its end if `isRetained`. When this returns, its reservation is queued for the log. */
   grant (request: GrantRequest, isRetained: boolean): Grant {
     if (this.isStalled && (isRetained || !this._partitionState.isCovered(request))) return { type: 'stalled' }
-    const decision = this._partitionState.grant(request, Date.now())
+    const decision = this._partitionState.grant(request, steadyNowMs())
     if (decision.type === 'noSuchTurn' && !this._isHistoryComplete) return { type: 'stalled' }
     if (decision.type !== 'granted') return decision
     const { chain, records, cached } = decision
@@ -220,7 +220,7 @@
   async end (end: TurnEnd): Promise<RecordOutcome> {
     const pending = this._pendingEnds.get(end.requestId)
     if (pending !== undefined) return await pending
-    const records = this._partitionState.recordEnd(end, Date.now())
+    const records = this._partitionState.recordEnd(end, steadyNowMs())
     if (records.length === 0) return 'recorded'
     if (end.turn === undefined) {
       this._queue.appendLazily(records)
@@ -241,7 +241,7 @@
 
   /** Adds turns of other partitions that a turn of this one continues. That turn's answer is held back until they are in the log. */
   importTurns (chain: readonly RetainedTurn[]): void {
-    const records = this._partitionState.importTurns(chain, Date.now())
+    const records = this._partitionState.importTurns(chain, steadyNowMs())
     if (records.length === 0) return
     const recorded = this._queue.append(records).then(outcome => outcome === 'recorded')
     for (const { turnId } of chain) this._pendingImports.set(turnId, recorded)
@@ -259,7 +259,7 @@
 
   /** Removes expired turns and accounts from memory and from the log. */
   expire (): void {
-    if (this.isServing) this._queue.appendLazily(this._partitionState.expire(Date.now()))
+    if (this.isServing) this._queue.appendLazily(this._partitionState.expire(steadyNowMs()))
   }
 
   /**
@@ -269,7 +269,7 @@
   async close (timeoutMs: number): Promise<void> {
     if (this._ownerState !== OwnerState.Serving) return
     this._isClosing = true
-    this._queue.appendLazily(this._partitionState.sealAccounts(Date.now()))
+    this._queue.appendLazily(this._partitionState.sealAccounts(steadyNowMs()))
     this._queue.flushLazy()
     const untilMs = steadyNowMs() + timeoutMs
     while (this.backlog > 0 && this._ownerState === OwnerState.Serving && steadyNowMs() < untilMs) await delay(CLOSE_POLL_MS)
--- a/packages/node/test/node/routed/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/partitionOwner.test.ts
@@ -184,6 +184,24 @@
   assert.is(second.chainOf('a')?.length, 2)
 })
 
+// Guards against turns that are removed early, because the time of day was changed.
+for (const [name, recordingOffsetMs, expiryOffsetMs] of [['ahead while expired turns are removed', 0, 120_000], ['behind while the turn is recorded', -120_000, 0]] as const) {
+  test(`a turn is retained in full when the time of day is ${name}`, async () => {
+    const { now } = Date
+    const owner = createOwner(new FakeLog())
+    try {
+      Date.now = () => now() + recordingOffsetMs
+      await owner.recover()
+      await owner.end(createEnd('a'))
+      Date.now = () => now() + expiryOffsetMs
+      owner.expire()
+    } finally {
+      Date.now = now
+    }
+    assert.is(owner.chainOf('a')?.length, 1)
+  })
+}
+
 test('an owner that closes withdraws the tokens that it had allowed ahead', async () => {
   const log = new FakeLog()
   const first = createOwner(log)
