Turns: retention begins when the end of the turn is recorded

Cause: the retention of a turn began with the report of its end. The append, and with it the end of the answer, came seconds later.

Change: the owner begins the retention anew once the log has confirmed the record, also on a repeated report. A margin of 5 s covers the way of the answer's end to the caller, and of the request that names the turn.

--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -53,6 +53,8 @@
 export interface PartitionStateOptions {
   /** Largest record that the log accepts; larger turns are split. */
   maxRecordBytes: number
+  /** Time for which turns are retained beyond their `keepMs`. */
+  retentionMarginMs?: number
 }
 
 /**
@@ -71,7 +73,11 @@
   /** Parts of turns of which some are not read yet, by turn id. */
   private readonly _incompleteTurns = new Map<string, Array<Uint8Array | undefined>>()
 
-  constructor (private readonly _options: PartitionStateOptions) {}
+  private readonly _retentionMarginMs: number
+
+  constructor (private readonly _options: PartitionStateOptions) {
+    this._retentionMarginMs = _options.retentionMarginMs ?? 0
+  }
 
   get turnCount (): number {
     return this._turns.size
@@ -102,7 +108,7 @@
     if (parts.some(part => part === undefined)) return true
     this._incompleteTurns.delete(record.turnId)
     const turn = decodeTurn(parts.length === 1 ? parts[0] as Uint8Array : concatBytes(parts as Uint8Array[]))
-    if (turn !== undefined) this._turns.add(turn, nowMs)
+    if (turn !== undefined) this._turns.add(turn, nowMs + this._retentionMarginMs)
     return turn !== undefined
   }
 
@@ -136,7 +142,7 @@
   recordEnd (turnEnd: TurnEnd, nowMs: number): KeyedRecord[] {
     const records: KeyedRecord[] = []
     if (turnEnd.turn !== undefined && !this._turns.has(turnEnd.turn.turnId)) {
-      this._turns.add(turnEnd.turn, nowMs)
+      this._turns.add(turnEnd.turn, nowMs + this._retentionMarginMs)
       records.push(...encodeTurn(turnEnd.turn, this._options.maxRecordBytes))
     }
     if (turnEnd.worker !== undefined) this._promptCache.recordPrompt(turnEnd.worker, turnEnd.prompt)
@@ -148,6 +154,11 @@
     return records
   }
 
+  /** Retains a turn and its chain for the turn's whole `keepMs` from now on, because its answer ends only now. */
+  restartRetention ({ turnId, keepMs }: RetainedTurn, nowMs: number): void {
+    this._turns.retain(turnId, nowMs + keepMs + this._retentionMarginMs)
+  }
+
   /**
    * Withdraws unused allowances and returns the accounts' records. Without them the next owner has to count each allowance as
    * used.
@@ -159,7 +170,7 @@
   /** Adds turns of another partition that a program of this one continues, and returns the records of those not held yet. */
   importTurns (chain: readonly RetainedTurn[], nowMs: number): KeyedRecord[] {
     const missingTurns = chain.filter(turn => !this._turns.has(turn.turnId))
-    for (const turn of missingTurns) this._turns.add(turn, nowMs)
+    for (const turn of missingTurns) this._turns.add(turn, nowMs + this._retentionMarginMs)
     return missingTurns.flatMap(turn => encodeTurn(turn, this._options.maxRecordBytes))
   }
 
@@ -184,7 +195,7 @@
   /** Retains the chain until the turn that continues it has ended; its end then retains the chain further. */
   private _retainChain (chain: readonly RetainedTurn[], { timeLeftMs = 0 }: GrantRequest, nowMs: number): void {
     const previousTurn = chain.at(-1)
-    if (previousTurn !== undefined) this._turns.retain(previousTurn.turnId, nowMs + Math.max(previousTurn.keepMs, timeLeftMs))
+    if (previousTurn !== undefined) this._turns.retain(previousTurn.turnId, nowMs + Math.max(previousTurn.keepMs, timeLeftMs) + this._retentionMarginMs)
   }
 
   private _restoreAccount (programId: string, account: ProgramAccount, nowMs: number): void {
--- a/packages/core/test/common/turns/partitionState.test.ts
+++ b/packages/core/test/common/turns/partitionState.test.ts
@@ -184,6 +184,17 @@
   assert.is(state.turnCount, 0)
 })
 
+test('the retention of a turn and its chain can begin anew', () => {
+  const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES, retentionMarginMs: 50 })
+  state.recordEnd(createEnd('a', 0, createTurn('a')), 0)
+  state.recordEnd(createEnd('b', 0, createTurn('b', 'a')), 0)
+  state.restartRetention(createTurn('b', 'a'), 900)
+  state.expire(1_940)
+  assert.is(state.chainOf('b')?.length, 2)
+  state.expire(1_950)
+  assert.is(state.turnCount, 0)
+})
+
 test('a chain that was imported from another partition is retained from the grant on as well', () => {
   const state = new PartitionState({ maxRecordBytes: MAX_RECORD_BYTES })
   state.importTurns([createTurn('a'), createTurn('b', 'a')], 0)
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -17,6 +17,8 @@
 const STALLED_AFTER_MS = 450
 /** The log counts as down when it answered nothing for this long, the time of four joins of the member group. */
 const LOG_DOWN_AFTER_MS = 1_000
+/** Covers the time from the record of a turn until its answer has ended at the caller, and the way of the turn that continues it. */
+const RETENTION_MARGIN_MS = 5_000
 /** Period at which a closing owner checks whether records are still to be appended. */
 const CLOSE_POLL_MS = 10
 /** Number of epochs of one generation of the member group. A node that restarts within a generation takes a higher one of them. */
@@ -92,7 +94,7 @@
     this.partition = _options.partition
     const firstEpoch = _options.generation * EPOCHS_PER_GENERATION
     this._epoch = firstEpoch + _options.random.nextInt(EPOCHS_PER_GENERATION / 2)
-    this._partitionState = new PartitionState({ maxRecordBytes: _options.maxRecordBytes })
+    this._partitionState = new PartitionState({ maxRecordBytes: _options.maxRecordBytes, retentionMarginMs: RETENTION_MARGIN_MS })
     this._queue = new AppendQueue({
       topic: TURN_TOPIC,
       partition: this.partition,
@@ -214,10 +216,16 @@
   }
 
   /**
-   * Applies the end of a turn. For a retained turn it resolves once the turn is in the log, also for a repeated report.
-   * Without a turn to retain, or when nothing is left to record, it resolves to 'recorded' at once.
+   * Applies the end of a turn. For a retained turn it resolves once the turn is in the log, also for a repeated report; the turn's
+   * answer ends afterwards, so that its retention begins then. Without a turn to retain, or when nothing is left to record, it resolves to 'recorded' at once.
    */
   async end (end: TurnEnd): Promise<RecordOutcome> {
+    const outcome = await this._recordEnd(end)
+    if (outcome === 'recorded' && end.turn !== undefined) this._partitionState.restartRetention(end.turn, steadyNowMs())
+    return outcome
+  }
+
+  private async _recordEnd (end: TurnEnd): Promise<RecordOutcome> {
     const pending = this._pendingEnds.get(end.requestId)
     if (pending !== undefined) return await pending
     const records = this._partitionState.recordEnd(end, steadyNowMs())
--- a/packages/node/test/node/routed/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/partitionOwner.test.ts
@@ -5,6 +5,7 @@
 import { EPOCHS_PER_GENERATION, PartitionOwner, TURN_TOPIC } from '../../../src/node/routed/partitionOwner.js'
 import { LogResponseTime } from '../../../src/node/routed/logResponseTime.js'
 import { FakeLog } from './fakeLog.js'
+import { VirtualTime } from './virtualTime.js'
 
 const MAX_RECORD_BYTES = 4_096
 
@@ -202,6 +203,31 @@
   })
 }
 
+// Guards against a turn that is removed before its retention, counted from the end of its answer, because its record came late.
+test('a turn is retained in full from the time at which it is recorded, also when that is reported once more', async () => {
+  await VirtualTime.run(async time => {
+    const log = new FakeLog()
+    const owner = createOwner(log)
+    void owner.recover()
+    await time.advance(1_000)
+    const { keepMs } = createEnd('a').turn ?? { keepMs: 0 }
+    log.isDown = true
+    const ended = owner.end(createEnd('a'))
+    await time.advance(8_000)
+    log.isDown = false
+    await time.advance(1_000)
+    assert.is(await ended, 'recorded')
+    await time.advance(keepMs - 100)
+    owner.expire()
+    assert.is(owner.chainOf('a')?.length, 1)
+    assert.is(await owner.end(createEnd('a')), 'recorded')
+    await time.advance(keepMs - 100)
+    owner.expire()
+    assert.is(owner.chainOf('a')?.length, 1)
+    owner.lose('end')
+  })
+})
+
 test('an owner that closes withdraws the tokens that it had allowed ahead', async () => {
   const log = new FakeLog()
   const first = createOwner(log)
