Append queue: no append blocks the ones behind it for good

Cause: the records of one append were sent in one call of any size, and an append was repeated until the log took it. One append is in flight at a time. Long ids, accounts with many open turns, imported chains, many removals and sealed accounts could exceed a record or a call in the same way.

Change: appends are split into calls. Large turns are appended in calls of 512 KiB, with the records of other programs between them, and the account's record goes with the last one.

--- a/packages/core/src/common/turns/tokenLedger.ts
+++ b/packages/core/src/common/turns/tokenLedger.ts
@@ -64,6 +64,11 @@
     return this._accounts.get(programId)
   }
 
+  /** Turns of the program whose end is not known. */
+  openTurnCountOf (programId: string): number {
+    return this._accounts.get(programId)?.openTurns.size ?? 0
+  }
+
   /** True while the end of a turn of the program is not known. */
   hasOpenTurns (programId: string): boolean {
     return [...this._accounts.get(programId)?.openTurns.keys() ?? []].some(requestId => requestId !== UNKNOWN_USE_ID)
@@ -107,6 +112,12 @@
     account.allowedTokens = committed + Math.floor(ALLOWANCE_SHARE * remainingTokens)
   }
 
+  /** The newest record of the account is not in the log: the next turn needs one again. */
+  withdrawRecord (programId: string): void {
+    const account = this._accounts.get(programId)
+    if (account !== undefined) account.allowedTokens = 0
+  }
+
   /** Withdraws the unused allowance of every account; returns the programs whose accounts have to be recorded. */
   withdrawAllowances (): string[] {
     const changedPrograms: string[] = []
--- a/packages/core/src/common/turns/turnRecords.ts
+++ b/packages/core/src/common/turns/turnRecords.ts
@@ -14,6 +14,9 @@
 const MAX_ID_CHARACTERS = 100
 /** Space reserved in a record for its key and the fields other than the part's bytes. */
 const RECORD_OVERHEAD_BYTES = 512
+/** Upper bound on the bytes of an encoded turn beside its ids, input and output. */
+const TURN_OVERHEAD_BYTES = 64
+const MAX_BYTES_PER_CHARACTER = 3
 
 /** Parts of one turn; more than those of the largest output that is retained. */
 const MAX_PARTS = 10_000
@@ -25,7 +28,7 @@
 
 const packr = new Packr({ useRecords: false, mapsAsObjects: true })
 
-/** A record that was read from the log. */
+/** A record that was read from the log. `turnId` may be shortened, as by `shortenId`. */
 export type DecodedRecord =
   | { type: 'account', programId: string, account: ProgramAccount }
   | { type: 'turnPart', turnId: string, index: number, count: number, bytes: Uint8Array }
@@ -45,7 +48,7 @@
   const count = Math.max(1, Math.ceil(bytes.length / maxPartBytes))
   return Array.from({ length: count }, (_, index) => ({
     key: turnKey(turnId, index),
-    value: packr.pack({ t: turnId, i: index, n: count, b: bytes.subarray(index * maxPartBytes, (index + 1) * maxPartBytes) })
+    value: packr.pack({ t: shortenId(turnId), i: index, n: count, b: bytes.subarray(index * maxPartBytes, (index + 1) * maxPartBytes) })
   }))
 }
 
@@ -54,10 +57,16 @@
   return { key: accountKey(programId) }
 }
 
+/** The records that remove parts of a turn. `turnId` may be shortened. */
+export function encodePartRemovals (turnId: string, indexes: readonly number[]): KeyedRecord[] {
+  return indexes.map(index => ({ key: turnKey(turnId, index) }))
+}
+
 /** The records that remove a turn; `maxRecordBytes` as when it was encoded. */
 export function encodeTurnRemoval (turn: RetainedTurn, maxRecordBytes: number): KeyedRecord[] {
-  const count = Math.max(1, Math.ceil((turn.input.length + turn.output.length + RECORD_OVERHEAD_BYTES) / (maxRecordBytes - RECORD_OVERHEAD_BYTES)))
-  return Array.from({ length: count }, (_, index) => ({ key: turnKey(turn.turnId, index) }))
+  const bytes = turn.input.length + turn.output.length + TURN_OVERHEAD_BYTES + [turn.turnId, turn.programId, turn.previousTurnId ?? '', turn.worker ?? ''].reduce((total, id) => total + MAX_BYTES_PER_CHARACTER * id.length, 0)
+  const count = Math.max(1, Math.ceil(bytes / (maxRecordBytes - RECORD_OVERHEAD_BYTES)))
+  return encodePartRemovals(turn.turnId, Array.from({ length: count }, (_, index) => index))
 }
 
 /** Decodes a record; undefined when its bytes are damaged. */
@@ -110,7 +119,7 @@
   return Array.isArray(value) && value.every(entry => Array.isArray(entry) && typeof entry[0] === 'string' && isAmount(entry[1]))
 }
 
-/** The id itself, or its digest when it is long or has characters other than printable ASCII. */
-function shortenId (id: string): string {
+/** The id itself, or its digest when it is long or has characters other than printable ASCII. A shortened id stays as it is. */
+export function shortenId (id: string): string {
   return id.length <= MAX_ID_CHARACTERS && /^[\x21-\x7e]*$/.test(id) ? id : digestText(id)
 }
--- a/packages/core/src/common/turns/turnTree.ts
+++ b/packages/core/src/common/turns/turnTree.ts
@@ -65,6 +65,19 @@
     this._extendExpiry(turn.turnId, expiresAtMs)
   }
 
+  /** Ids of the turns held. */
+  get turnIds (): Iterable<string> {
+    return this._entries.keys()
+  }
+
+  /** Removes a turn before its time. */
+  remove (turnId: string): void {
+    const entry = this._entries.get(turnId)
+    if (entry === undefined) return
+    this._entries.delete(turnId)
+    this._bytes -= entry.turn.input.length + entry.turn.output.length
+  }
+
   /** Retains a turn and the chain before it until `untilMs`, if they would otherwise be removed earlier. */
   retain (turnId: string, untilMs: number): void {
     this._extendExpiry(turnId, untilMs)
--- a/packages/node/src/common/routed/logClient.ts
+++ b/packages/node/src/common/routed/logClient.ts
@@ -30,6 +30,8 @@
   | { type: 'outOfSequence', expected: number }
   /** Certainly not appended. */
   | { type: 'refused', detail: string }
+  /** Certainly not appended, and the log will never accept the call, for example because it is too large. */
+  | { type: 'rejected', detail: string }
   /** May have been appended already, or may still be. */
   | { type: 'unknown', detail: string }
 
--- a/packages/node/src/node/routed/appendQueue.ts
+++ b/packages/node/src/node/routed/appendQueue.ts
@@ -3,6 +3,7 @@
 import type { AppendResult, ILogClient } from '../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
 import type { LogResponseTime } from './logResponseTime.js'
+import { groupRecords, sizeOfRecords } from './recordParts.js'
 
 /** All owners append under one producer name, so that the log refuses earlier owners once it has a higher epoch. */
 export const PRODUCER = 'owner'
@@ -12,17 +13,15 @@
 const MAX_RETRY_MS = 250
 /** Longest delay of records that nobody waits for; an earlier append takes them along. */
 const LAZY_FLUSH_MS = 400
-/** Upper bound on the bytes that a record adds to its key and value in an append. */
-const RECORD_FRAME_BYTES = 8
 
-/** Outcome of an append: in the log, or given up with the partition before that was known. */
-export type RecordOutcome = 'recorded' | 'lost'
+/** Outcome of an append: in the log, given up with the partition before that was known, or never accepted by the log. */
+export type RecordOutcome = 'recorded' | 'lost' | 'rejected'
 
 export interface AppendQueueOptions {
   topic: string
   partition: number
   log: ILogClient
-  /** Size up to which waiting appends are merged in one call; a single larger append is sent whole. */
+  /** Largest call. Waiting appends are merged up to this size, and larger ones take several calls. */
   maxAppendBytes: number
   /** Shared by all partitions of the node. */
   responseTime: LogResponseTime
@@ -32,15 +31,25 @@
   write: (event: string, fields: LogFields) => void
 }
 
-interface Batch {
+/** The records of one append, or those of them that one call takes. */
+interface Part {
   records: KeyedRecord[]
   bytes: number
-  waiters: Array<(outcome: RecordOutcome) => void>
+  append: { isRejected: boolean, notifyWaiter: (outcome: RecordOutcome) => void }
+  /** True if the append is in the log when this part is. */
+  isLast: boolean
+}
+
+/** What one call appends. */
+interface Batch {
+  parts: Part[]
+  bytes: number
 }
 
 /**
  * Sends one append at a time and merges the ones that wait for it. Records reach the log in the order of the calls, lazy ones
- * included: the log keeps the last record of each key, so an older state must never follow a newer one.
+ * included: the log keeps the last record of each key, so an older state must never follow a newer one. An append that the log
+ * never accepts is dropped, so that the ones behind it don't wait for it.
  *
  * @example
  * queue.start(epoch)
@@ -78,7 +87,8 @@
   async append (records: KeyedRecord[]): Promise<RecordOutcome> {
     if (this._isStopped) return 'lost'
     return await new Promise(resolve => {
-      this._enqueue([...this._dequeueLazy(), ...records], resolve)
+      this._enqueueLazy()
+      this._enqueue(records, resolve)
       this._sendNext()
     })
   }
@@ -92,9 +102,8 @@
 
   /** Queues the lazy records at once. */
   flushLazy (): void {
-    const records = this._dequeueLazy()
-    if (records.length === 0 || this._isStopped) return
-    this._enqueue(records)
+    if (this._isStopped) return
+    this._enqueueLazy()
     this._sendNext()
   }
 
@@ -104,22 +113,29 @@
     const batches = [...(this._inFlight === undefined ? [] : [this._inFlight]), ...this._batches]
     const unrecordedLazily = this._dequeueLazy().length
     this._batches = []
-    for (const batch of batches) {
-      for (const notifyWaiter of batch.waiters) notifyWaiter('lost')
-    }
+    for (const { append } of batches.flatMap(({ parts }) => parts)) append.notifyWaiter('lost')
     return { unrecordedBatches: batches.length, unrecordedLazily }
   }
 
-  private _enqueue (records: KeyedRecord[], waiter?: (outcome: RecordOutcome) => void): void {
-    const bytes = records.reduce((total, record) => total + record.key.length + (record.value?.length ?? 0) + RECORD_FRAME_BYTES, 0)
-    let batch = this._batches.at(-1)
-    if (batch === undefined || batch.bytes + bytes > this._options.maxAppendBytes) {
-      batch = { records: [], bytes: 0, waiters: [] }
-      this._batches.push(batch)
+  private _enqueueLazy (): void {
+    const records = this._dequeueLazy()
+    if (records.length > 0) this._enqueue(records, () => {})
+  }
+
+  private _enqueue (records: readonly KeyedRecord[], notifyWaiter: (outcome: RecordOutcome) => void): void {
+    const { maxAppendBytes } = this._options
+    const append = { isRejected: false, notifyWaiter }
+    const groups = records.length === 0 ? [[]] : groupRecords(records, { maxBytes: maxAppendBytes })
+    for (const [index, group] of groups.entries()) {
+      const part: Part = { records: group, bytes: sizeOfRecords(group), append, isLast: index === groups.length - 1 }
+      const batch = this._batches.at(-1)
+      if (batch === undefined || batch.bytes + part.bytes > maxAppendBytes) {
+        this._batches.push({ parts: [part], bytes: part.bytes })
+      } else {
+        batch.parts.push(part)
+        batch.bytes += part.bytes
+      }
     }
-    batch.records.push(...records)
-    batch.bytes += bytes
-    if (waiter !== undefined) batch.waiters.push(waiter)
   }
 
   private _dequeueLazy (): KeyedRecord[] {
@@ -132,13 +148,19 @@
     if (this._inFlight !== undefined || this._epoch === undefined || this._isStopped) return
     const batch = this._batches.shift()
     if (batch === undefined) return
+    batch.parts = batch.parts.filter(({ append }) => !append.isRejected)
+    if (batch.parts.length === 0) {
+      this._sendNext()
+      return
+    }
     this._inFlight = batch
     this._inFlightSinceMs = steadyNowMs()
     void this._appendBatch(batch, this._epoch)
   }
 
   private async _appendBatch (batch: Batch, epoch: number): Promise<void> {
-    const isEmpty = batch.records.length === 0
+    const records = batch.parts.flatMap(part => part.records)
+    const isEmpty = records.length === 0
     if (!isEmpty) this._sequence++
     let unansweredCount = 0
     for (let tries = 1; !this._isStopped; tries++) {
@@ -146,7 +168,7 @@
       const result = await this._options.log.append({
         topic: this._options.topic,
         partition: this._options.partition,
-        records: batch.records,
+        records,
         producer: { producer: PRODUCER, epoch, sequence: isEmpty ? undefined : this._sequence },
         timeoutMs: this._options.responseTime.timeoutMs(APPEND_TIMEOUT, unansweredCount)
       })
@@ -162,6 +184,11 @@
         this._options.onFenced()
         return
       }
+      if (result.type === 'rejected') {
+        if (!isEmpty) this._sequence--
+        this._rejectBatch(batch, result.detail)
+        return
+      }
       this._options.write('appendRepeated', { partition: this._options.partition, epoch, sequence: this._sequence, tries, detail: describeFailedAppend(result) })
       if (result.type !== 'outOfSequence') await delay(Math.min(MAX_RETRY_MS, RETRY_MS * tries))
     }
@@ -170,7 +197,24 @@
   private _completeBatch (batch: Batch): void {
     this._inFlight = undefined
     this._inFlightSinceMs = undefined
-    for (const notifyWaiter of batch.waiters) notifyWaiter('recorded')
+    for (const { append, isLast } of batch.parts) {
+      if (isLast) append.notifyWaiter('recorded')
+    }
+    this._sendNext()
+  }
+
+  /** Sends the appends of a merged batch one by one, and drops a single one. */
+  private _rejectBatch (batch: Batch, detail: string): void {
+    this._inFlight = undefined
+    this._inFlightSinceMs = undefined
+    if (batch.parts.length > 1) {
+      this._batches.unshift(...batch.parts.map(part => ({ parts: [part], bytes: part.bytes })))
+    } else {
+      const [{ append, records, bytes }] = batch.parts
+      append.isRejected = true
+      this._options.write('appendRejected', { partition: this._options.partition, records: records.length, bytes, recordKey: records.at(0)?.key, detail })
+      append.notifyWaiter('rejected')
+    }
     this._sendNext()
   }
 }
--- a/packages/node/src/node/routed/crashRecords.ts
+++ b/packages/node/src/node/routed/crashRecords.ts
@@ -176,14 +176,21 @@
     this._isAppending = true
     await delay(LINGER_MS)
     let retryMs = MIN_RETRY_MS
+    let maxRecords = RECORDS_PER_APPEND
     while (this._waiting.size > 0 && !this._isStopped) {
-      const records = [...this._waiting.values()].slice(0, RECORDS_PER_APPEND)
+      const records = [...this._waiting.values()].slice(0, maxRecords)
       const result = await log.append({ topic, partition: 0, records, timeoutMs: APPEND_TIMEOUT_MS })
       if (result.type === 'appended') {
         for (const record of records) {
           if (this._waiting.get(record.key) === record) this._waiting.delete(record.key)
         }
         retryMs = MIN_RETRY_MS
+      } else if (result.type === 'rejected') {
+        if (records.length === 1) {
+          this._waiting.delete(records[0].key)
+          write('crashRecordDropped', { key: records[0].key, detail: result.detail })
+        }
+        maxRecords = 1
       } else if (!this._isStopped) {
         write('crashRecordsDelayed', { records: this._waiting.size, detail: 'detail' in result ? result.detail : result.type })
         await delay(retryMs)
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -4,6 +4,7 @@
 import { delay, steadyNowMs } from '../steadyClock.js'
 import { AppendQueue, describeFailedAppend, PRODUCER, type RecordOutcome } from './appendQueue.js'
 import type { LogResponseTime } from './logResponseTime.js'
+import { groupRecords } from './recordParts.js'
 
 /** Topic of the records of turns and accounts. */
 export const TURN_TOPIC = 'keyed.turns'
@@ -17,6 +18,8 @@
 const STALLED_AFTER_MS = 450
 /** The log counts as down when it answered nothing for this long, the time of four joins of the member group. */
 const LOG_DOWN_AFTER_MS = 1_000
+/** Larger turns are appended in calls of this size, between which the records of other programs are appended. */
+const MAX_TURN_CALL_BYTES = 512 * 1024
 /** Covers the time from the record of a turn until its answer has ended at the caller, and the way of the turn that continues it. */
 const RETENTION_MARGIN_MS = 5_000
 /** Period at which a closing owner checks whether records are still to be appended. */
@@ -39,7 +42,7 @@
   /** Shared by all partitions of the node. */
   responseTime: LogResponseTime
   maxRecordBytes: number
-  /** Size up to which queued appends are merged in one call. */
+  /** Largest call of the log. */
   maxAppendBytes: number
   /** Milliseconds since the log last answered this node. */
   sinceLogResponseMs: () => number
@@ -63,7 +66,7 @@
   | { type: 'spent' }
   /** The previous turn doesn't exist in this partition. */
   | { type: 'noSuchTurn' }
-  /** Undecided: the log takes no records now, or the previous turn may not be read yet. */
+  /** Undecided: the log takes no records now, too many turns of the program are open, or the previous turn may not be read yet. */
   | { type: 'stalled' }
 
 /**
@@ -208,10 +211,10 @@
   grant (request: GrantRequest, isRetained: boolean): Grant {
     if (this.isStalled && (isRetained || !this._partitionState.isCovered(request))) return { type: 'stalled' }
     const decision = this._partitionState.grant(request, steadyNowMs())
-    if (decision.type === 'noSuchTurn' && !this._isHistoryComplete) return { type: 'stalled' }
+    if (decision.type === 'tooManyTurns' || (decision.type === 'noSuchTurn' && !this._isHistoryComplete)) return { type: 'stalled' }
     if (decision.type !== 'granted') return decision
     const { chain, records, cached } = decision
-    if (records.length > 0) this._trackAccountAppend(request.programId, this._queue.append(records).then(outcome => outcome === 'recorded'))
+    if (records.length > 0) this._trackAccountAppend(request.programId, this._queue.append(records))
     return { type: 'granted', chain, cached, recorded: this._pendingAppendOf(request.programId, chain) }
   }
 
@@ -234,14 +237,32 @@
       this._queue.appendLazily(records)
       return 'recorded'
     }
-    const appended = this._queue.append(records)
-    this._trackAccountAppend(end.programId, appended.then(outcome => outcome === 'recorded'))
+    const appended = this._appendTurns(records, end.programId)
+    this._trackAccountAppend(end.programId, appended)
     this._pendingEnds.set(end.requestId, appended)
     const outcome = await appended
     this._pendingEnds.delete(end.requestId)
+    if (outcome === 'rejected') this._queue.appendLazily(this._partitionState.forgetTurns([end.turn]))
     return outcome
   }
 
+  /**
+   * Appends the records of turns, and of the account of `programId` if one of them is. Large turns take several calls; a turn counts once its
+   * last part is recorded.
+   */
+  private async _appendTurns (records: KeyedRecord[], programId?: string): Promise<RecordOutcome> {
+    const calls = groupRecords(records, { maxBytes: Math.min(MAX_TURN_CALL_BYTES, this._options.maxAppendBytes) })
+    const last = calls.pop() ?? []
+    if (calls.length === 0) return await this._queue.append(last)
+    for (const call of calls) {
+      const outcome = await this._queue.append(call.filter(({ key }) => !isAccountKey(key)))
+      if (outcome !== 'recorded') return outcome
+    }
+    // The account may have changed since, and an older state must not follow a newer one.
+    const accountRecords = programId !== undefined && records.some(({ key }) => isAccountKey(key)) ? this._partitionState.accountRecords(programId, steadyNowMs()) : []
+    return await this._queue.append([...last.filter(({ key }) => !isAccountKey(key)), ...accountRecords])
+  }
+
   /** The turn and all turns before it, in order; undefined when the turn is unknown here. */
   chainOf (turnId: string): RetainedTurn[] | undefined {
     return this._partitionState.chainOf(turnId)
@@ -251,7 +272,10 @@
   importTurns (chain: readonly RetainedTurn[]): void {
     const records = this._partitionState.importTurns(chain, steadyNowMs())
     if (records.length === 0) return
-    const recorded = this._queue.append(records).then(outcome => outcome === 'recorded')
+    const recorded = this._appendTurns(records).then(outcome => {
+      if (outcome === 'rejected') this._queue.appendLazily(this._partitionState.forgetTurns(chain))
+      return outcome === 'recorded'
+    })
     for (const { turnId } of chain) this._pendingImports.set(turnId, recorded)
     void recorded.then(() => {
       for (const { turnId } of chain) {
@@ -342,9 +366,11 @@
     return Promise.all([...imports, ...(account === undefined ? [] : [account])]).then(results => results.every(Boolean))
   }
 
-  private _trackAccountAppend (programId: string, recorded: Promise<boolean>): void {
-    const tracked = recorded.finally(() => {
+  private _trackAccountAppend (programId: string, appended: Promise<RecordOutcome>): void {
+    const tracked = appended.then(outcome => {
+      if (outcome === 'rejected') this._partitionState.withdrawAccountRecord(programId)
       if (this._accountAppends.get(programId) === tracked) this._accountAppends.delete(programId)
+      return outcome === 'recorded'
     })
     this._accountAppends.set(programId, tracked)
   }
--- a/packages/node/src/node/routed/recordParts.ts
+++ b/packages/node/src/node/routed/recordParts.ts
@@ -1,10 +1,40 @@
-/** Splits records that are larger than the log accepts, and joins their parts. */
+/** Sizes of records in appends: groups records by calls, splits records that are larger than the log accepts, and joins their parts. */
 import { createHash } from 'node:crypto'
 import type { KeyedRecord } from '@trefoilshunt/core'
 
 /** Separates the key of a record from the number of a part. Keys that are split hold none. */
 const PART_SEPARATOR = '\u0000'
 const DIGEST_BYTES = 16
+/** Upper bound on the bytes that a record adds to its key and value in an append. */
+const RECORD_FRAME_BYTES = 8
+
+/** Upper bound on the bytes that records take in an append. */
+export function sizeOfRecords (records: readonly KeyedRecord[]): number {
+  return records.reduce((total, { key, value }) => total + Buffer.byteLength(key) + (value?.length ?? 0) + RECORD_FRAME_BYTES, 0)
+}
+
+/**
+ * The records, in order, in groups of at most `maxBytes` and `maxRecords` each; a larger record is a group of its own.
+ *
+ * @example
+ * for (const group of groupRecords(records, { maxBytes: 2_000_000 })) await append(group)
+ */
+export function groupRecords (records: readonly KeyedRecord[], { maxBytes, maxRecords = Number.POSITIVE_INFINITY }: { maxBytes: number, maxRecords?: number }): KeyedRecord[][] {
+  const groups: KeyedRecord[][] = []
+  let groupBytes = 0
+  for (const record of records) {
+    const recordBytes = sizeOfRecords([record])
+    const group = groups.at(-1)
+    if (group === undefined || group.length >= maxRecords || groupBytes + recordBytes > maxBytes) {
+      groups.push([record])
+      groupBytes = recordBytes
+    } else {
+      group.push(record)
+      groupBytes += recordBytes
+    }
+  }
+  return groups
+}
 
 /**
  * The records that hold a value of at most `maxValueBytes` each: the record itself, or its parts, which begin with the digest of the value.
--- a/packages/node/src/node/routed/topicSnapshots.ts
+++ b/packages/node/src/node/routed/topicSnapshots.ts
@@ -5,7 +5,7 @@
 import type { KeyedRecord, LogFields } from '@trefoilshunt/core'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import { delay } from '../steadyClock.js'
-import { joinRecords, splitRecord } from './recordParts.js'
+import { groupRecords, joinRecords, splitRecord } from './recordParts.js'
 
 /** Topic that holds the snapshots. */
 export const SNAPSHOT_TOPIC = 'keyed.copies'
@@ -114,8 +114,15 @@
 
   private async _writeChanges (partition: number, snapshot: Map<string, Uint8Array>, contents: ReadonlyMap<string, readonly KeyedRecord[]>): Promise<boolean> {
     const changes = this._findChanges(snapshot, contents)
-    for (const records of groupForAppends(changes, this._options.maxAppendBytes)) {
+    const groups = groupRecords(changes, { maxBytes: this._options.maxAppendBytes, maxRecords: RECORDS_PER_APPEND })
+    for (let records = groups.shift(); records !== undefined; records = groups.shift()) {
       const result = await this._options.log.append({ topic: SNAPSHOT_TOPIC, partition, records, timeoutMs: CALL_TIMEOUT_MS })
+      if (result.type === 'rejected') {
+        // Only the records that the log never accepts are left out.
+        if (records.length > 1) groups.unshift(...records.map(record => [record]))
+        else this._options.write('copyRejected', { partition, recordKey: records[0].key, detail: result.detail })
+        continue
+      }
       if (result.type !== 'appended') {
         this._options.write('copyDelayed', { partition, changes: changes.length, detail: 'detail' in result ? result.detail : result.type })
         return false
@@ -166,21 +173,3 @@
     }
   }
 }
-
-/** Groups records so that each group fits into one append. */
-function groupForAppends (records: readonly KeyedRecord[], maxBytes: number): KeyedRecord[][] {
-  const groups: KeyedRecord[][] = []
-  let bytes = 0
-  for (const record of records) {
-    const recordBytes = record.key.length + (record.value?.length ?? 0) + RECORD_OVERHEAD_BYTES
-    const group = groups.at(-1)
-    if (group === undefined || group.length >= RECORDS_PER_APPEND || bytes + recordBytes > maxBytes) {
-      groups.push([record])
-      bytes = recordBytes
-    } else {
-      group.push(record)
-      bytes += recordBytes
-    }
-  }
-  return groups
-}
--- a/packages/node/src/node/routed/turnService.ts
+++ b/packages/node/src/node/routed/turnService.ts
@@ -14,6 +14,7 @@
 const OWNER_RETRY_MS = 25
 const MAX_OWNER_RETRY_MS = 250
 const FIND_CHAIN_TIMEOUT_MS = 500
+const END_FAILURES = { lost: 'the partition was lost', rejected: 'the log does not accept the turn' } as const
 
 /** A turn that may run at a worker. */
 export interface GrantedTurn {
@@ -186,8 +187,8 @@
 
   private async _endHere (partition: number, end: TurnEnd): Promise<EndReply> {
     const outcome = await this._options.host.find(partition)?.end(end)
-    if (outcome === undefined || outcome === 'lost') return { type: 'unavailable', detail: outcome === undefined ? 'not the owner' : 'the partition was lost' }
-    return { type: 'ended' }
+    if (outcome === 'recorded') return { type: 'ended' }
+    return { type: 'unavailable', detail: outcome === undefined ? 'not the owner' : END_FAILURES[outcome] }
   }
 
   /** Searches the partitions served here. Without a chain, `partitions` are those with a complete history and a confirmed ownership. */
--- a/packages/node/test/node/routed/fakeLog.ts
+++ b/packages/node/test/node/routed/fakeLog.ts
@@ -21,6 +21,14 @@
   lostPages = 0
   /** Number of appends that reached the log, including those whose answer was lost. */
   appendCount = 0
+  /** Largest record and largest call; larger ones are rejected. */
+  maxRecordBytes = Number.POSITIVE_INFINITY
+  maxCallBytes = Number.POSITIVE_INFINITY
+  /** Appends with such a record are rejected. */
+  isRejected: (record: { key: string }) => boolean = () => false
+  /** Sizes of the calls that were appended or rejected. */
+  readonly callBytes: number[] = []
+  rejectedCount = 0
 
   constructor (readonly log = new KeyedLog({ partitionCount: 4, nowMs: () => performance.now() })) {}
 
@@ -28,6 +36,13 @@
     const isAnswered = await this._waitForAnswer(timeoutMs)
     if (this.isDown) return { type: 'refused', detail: 'down' }
     this.appendCount++
+    const sizes = records.map(({ key, value }) => 5 + Buffer.byteLength(key) + (value?.length ?? 0))
+    const bytes = sizes.reduce((total, size) => total + size, 0)
+    this.callBytes.push(bytes)
+    if (bytes > this.maxCallBytes || sizes.some(size => size > this.maxRecordBytes) || records.some(record => this.isRejected(record))) {
+      this.rejectedCount++
+      return { type: 'rejected', detail: 'too large' }
+    }
     const answer = this.log.append(topic, partition, records, producer)
     if (!isAnswered) return { type: 'unknown', detail: 'late' }
     if (this.lostAppendAnswers > 0) {
--- a/packages/node/test/node/routed/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/partitionOwner.test.ts
@@ -8,6 +8,7 @@
 import { VirtualTime } from './virtualTime.js'
 
 const MAX_RECORD_BYTES = 4_096
+const MAX_CALL_BYTES = 100_000
 
 interface CreateOptions { generation?: number, seed?: number, sinceLogResponseMs?: number, onLost?: (detail: string) => void }
 
@@ -18,7 +19,7 @@
     log,
     responseTime: new LogResponseTime(),
     maxRecordBytes: MAX_RECORD_BYTES,
-    maxAppendBytes: 100_000,
+    maxAppendBytes: MAX_CALL_BYTES,
     sinceLogResponseMs: () => sinceLogResponseMs,
     random: new SeededRandom(seed),
     onLost: (owner, detail) => {
@@ -30,9 +31,9 @@
   })
 }
 
-function createEnd (turnId: string, previousTurnId?: string): TurnEnd {
-  const turn: RetainedTurn = { turnId, programId: 'p', previousTurnId, input: Buffer.from(turnId), output: Buffer.from('out'), keepMs: 60_000 }
-  return { programId: 'p', requestId: turnId, usedTokens: 10, worker: 'w', prompt: [], turn }
+function createEnd (turnId: string, previousTurnId?: string, { programId = 'p', inputBytes = 10 } = {}): TurnEnd {
+  const turn: RetainedTurn = { turnId, programId, previousTurnId, input: Buffer.alloc(inputBytes, turnId), output: Buffer.from('out'), keepMs: 60_000 }
+  return { programId, requestId: turnId, usedTokens: 10, worker: 'w', prompt: [], turn }
 }
 
 function createGrant (requestId: string, fields: Partial<GrantRequest> = {}): GrantRequest {
@@ -228,6 +229,152 @@
   })
 })
 
+function createLimitedLog (): FakeLog {
+  return Object.assign(new FakeLog(), { maxRecordBytes: MAX_RECORD_BYTES, maxCallBytes: MAX_CALL_BYTES })
+}
+
+// Guards against a partition that stops for good, because one turn is larger than a call of the log.
+test('a turn that is larger than a call takes several, and other programs are recorded between them', async () => {
+  const log = createLimitedLog()
+  log.answerMs = 10
+  const owner = createOwner(log)
+  await owner.recover()
+  const order: string[] = []
+  const large = owner.end(createEnd('large', undefined, { inputBytes: 12 * MAX_CALL_BYTES })).then(outcome => order.push(`large ${outcome}`))
+  await wait(15)
+  for (const turnId of ['a', 'b']) await owner.end(createEnd(turnId, undefined, { programId: 'q' })).then(outcome => order.push(`${turnId} ${outcome}`))
+  await large
+  assert.equal(order, ['a recorded', 'b recorded', 'large recorded'])
+  assert.is(log.rejectedCount, 0)
+  const successor = createOwner(log, { generation: 2 })
+  await successor.recover()
+  assert.is(successor.chainOf('large')?.at(0)?.input.length, 12 * MAX_CALL_BYTES)
+  assert.is(successor.turnCount, 3)
+})
+
+test('an owner that takes over between two calls of a turn finds nothing of it, and records it on the next report', async () => {
+  const log = createLimitedLog()
+  log.answerMs = 10
+  const end = createEnd('large', undefined, { inputBytes: 12 * MAX_CALL_BYTES })
+  const first = createOwner(log)
+  await first.recover()
+  const outcome = first.end(end)
+  await wait(60)
+  const second = createOwner(log, { generation: 2 })
+  await second.recover()
+  assert.is(await outcome, 'lost')
+  assert.ok(log.callBytes.some(bytes => bytes > MAX_CALL_BYTES / 2), 'the first owner has recorded a part')
+  assert.is(second.turnCount, 0)
+  assert.is(second.chainOf('large'), undefined)
+  assert.is(await second.end(end), 'recorded')
+  const third = createOwner(log, { generation: 3 })
+  await third.recover()
+  assert.is(third.chainOf('large')?.length, 1)
+})
+
+test('a chain that is larger than a call is imported in several', async () => {
+  const log = createLimitedLog()
+  const owner = createOwner(log)
+  await owner.recover()
+  const chain = ['a', 'b', 'c'].map((turnId, index, ids) => createEnd(turnId, ids[index - 1], { inputBytes: MAX_CALL_BYTES }).turn).filter(turn => turn !== undefined)
+  owner.importTurns(chain)
+  const grant = owner.grant(createGrant('d', { previousTurnId: 'c' }), true)
+  assert.ok(grant.type === 'granted' && await grant.recorded)
+  const successor = createOwner(log, { generation: 2 })
+  await successor.recover()
+  assert.is(successor.chainOf('c')?.length, 3)
+})
+
+test('ids of any length, and many open turns of one program, fit in the records of the log', async () => {
+  const log = createLimitedLog()
+  const owner = createOwner(log)
+  await owner.recover()
+  const turnId = 't'.repeat(3 * MAX_RECORD_BYTES)
+  assert.is(await owner.end(createEnd(turnId, undefined, { inputBytes: 3 * MAX_RECORD_BYTES })), 'recorded')
+  for (let index = 0; index < 60; index++) {
+    const grant = owner.grant(createGrant(`${index}-${'r'.repeat(2_000)}`, { maxTokens: 10 }), true)
+    assert.ok(grant.type === 'granted' && await (grant.recorded ?? true))
+  }
+  const successor = createOwner(log, { generation: 2 })
+  await successor.recover()
+  assert.is(successor.chainOf(turnId)?.length, 1)
+  assert.is(log.rejectedCount, 0)
+})
+
+test('the removal of many expired turns at once takes several calls', async () => {
+  await VirtualTime.run(async time => {
+    const log = createLimitedLog()
+    const owner = createOwner(log)
+    void owner.recover()
+    await time.advance(1_000)
+    for (let index = 0; index < 4_000; index++) void owner.end(createEnd(`turn-${index}`))
+    await time.advance(10_000)
+    assert.is(owner.turnCount, 4_000)
+    await time.advance(70_000)
+    owner.expire()
+    await time.advance(5_000)
+    assert.is(owner.backlog, 0)
+    assert.is(log.rejectedCount, 0)
+    assert.is(log.log.newest(TURN_TOPIC, 0, undefined, 5_000).items.filter(({ key }) => key.startsWith('t/')).length, 0)
+    owner.lose('end')
+  })
+})
+
+test('what the log rejects fails alone: appends that were merged with it, and later ones, are recorded', async () => {
+  const log = createLimitedLog()
+  log.answerMs = 10
+  log.isRejected = ({ key }) => key.startsWith('t/bad')
+  const owner = createOwner(log)
+  await owner.recover()
+  const outcomes = await Promise.all(['a', 'bad', 'b', 'c'].map(async turnId => await owner.end(createEnd(turnId, undefined, { programId: turnId }))))
+  assert.equal(outcomes, ['recorded', 'rejected', 'recorded', 'recorded'])
+  assert.is(owner.chainOf('bad'), undefined)
+  assert.is(await owner.end(createEnd('bad', undefined, { programId: 'bad' })), 'rejected', 'a repeated report is not taken for recorded')
+  assert.is(await owner.end(createEnd('d')), 'recorded')
+})
+
+test('a turn is not granted while the log rejects the record of its account', async () => {
+  const log = createLimitedLog()
+  const owner = createOwner(log)
+  await owner.recover()
+  log.isRejected = ({ key }) => key.startsWith('p/')
+  for (const requestId of ['a', 'b']) {
+    const grant = owner.grant(createGrant(requestId), true)
+    assert.is(grant.type === 'granted' ? await grant.recorded : undefined, false)
+  }
+  log.isRejected = () => false
+  const grant = owner.grant(createGrant('c'), true)
+  assert.is(grant.type === 'granted' ? await grant.recorded : undefined, true)
+})
+
+test('the parts of a turn whose owner was lost before the last one are removed in the end', async () => {
+  await VirtualTime.run(async time => {
+    const log = createLimitedLog()
+    log.answerMs = 10
+    const first = createOwner(log)
+    void first.recover()
+    await time.advance(1_000)
+    void first.end(createEnd('large', undefined, { inputBytes: 12 * MAX_CALL_BYTES }))
+    void first.end(createEnd('whole', undefined, { inputBytes: 3 * MAX_RECORD_BYTES, programId: 'q' }))
+    await time.advance(60)
+    const second = createOwner(log, { generation: 2 })
+    void second.recover()
+    await time.advance(10_000)
+    assert.is(second.turnCount, 1)
+    const keysOf = (turnId: string): number => log.log.newest(TURN_TOPIC, 0, undefined, 5_000).items.filter(({ key }) => key.startsWith(`t/${turnId}/`)).length
+    assert.ok(keysOf('large') > 0)
+    second.expire()
+    await time.advance(2_000)
+    assert.ok(keysOf('large') > 0, 'the caller may still report the end once more')
+    await time.advance(50_000)
+    second.expire()
+    await time.advance(2_000)
+    assert.is(keysOf('large'), 0)
+    assert.ok(keysOf('whole') > 0)
+    second.lose('end')
+  })
+})
+
 test('an owner that closes withdraws the tokens that it had allowed ahead', async () => {
   const log = new FakeLog()
   const first = createOwner(log)
