Answers: what one read brings costs one write, and memory is bounded by bytes

Cause: limits counted bytes, the heap held objects. One read of 64 KB became up to 32,768 frames, each with a closure and a write, before a pause could be heard. Frames without data counted for no limit.

Change: small chunks of a read are joined, complete frames of a read are written at once, bytes are kept in blocks. A stream with more than 64 KB of comments and blank lines between two events has failed.

--- a/packages/node/src/common/routed/eventFrames.ts
+++ b/packages/node/src/common/routed/eventFrames.ts
@@ -4,20 +4,27 @@
 /** Longest end of an event that may have arrived in part: a line feed, a carriage return and a line feed. */
 const MAX_FRAME_END_BYTES = 3
 
-/** One event with its original bytes. */
-export interface EventFrame {
-  bytes: Buffer
-  /** Absent when the event carries none. */
+/** One event with data. */
+export interface StreamEvent {
   id?: string
-  /** The event's data; undefined for frames without any, such as comments. */
-  data?: string
+  data: string
+  /** Offset of the event's end in the bytes of its batch. */
+  endOffset: number
+}
+
+/** What has become complete at once. */
+export interface EventBatch {
+  /** Events and frames without data, such as comments and blank lines, as they came. */
+  bytes: Buffer
+  /** The events with data, in order. */
+  events: StreamEvent[]
 }
 
 /**
  * Accepts chunks of any size. Text is decoded as Latin-1, so that data keeps its bytes.
  *
  * @example
- * for (const frame of splitter.push(chunk)) forward(frame.bytes)
+ * const { bytes, events } = splitter.push(chunk)
  */
 export class EventFrameSplitter {
   private _pending: Buffer = Buffer.alloc(0)
@@ -29,18 +36,19 @@
     return this._pending
   }
 
-  /** Adds bytes and returns the events that are now complete. */
-  push (bytes: Uint8Array): EventFrame[] {
-    this._pending = this._pending.length === 0 ? Buffer.from(bytes) : Buffer.concat([this._pending, bytes])
-    const frames: EventFrame[] = []
+  /** Adds bytes and returns what is now complete. */
+  push (bytes: Uint8Array): EventBatch {
+    const pending = this._pending.length === 0 ? Buffer.from(bytes) : Buffer.concat([this._pending, bytes])
+    const events: StreamEvent[] = []
     let start = 0
-    for (let end = findFrameEnd(this._pending, this._searchedBytes); end >= 0; end = findFrameEnd(this._pending, start)) {
-      frames.push(parseFrame(this._pending.subarray(start, end)))
+    for (let end = findFrameEnd(pending, this._searchedBytes); end >= 0; end = findFrameEnd(pending, start)) {
+      const event = parseFrame(pending, start, end)
+      if (event !== undefined) events.push(event)
       start = end
     }
-    this._pending = this._pending.subarray(start)
+    this._pending = pending.subarray(start)
     this._searchedBytes = Math.max(0, this._pending.length - MAX_FRAME_END_BYTES + 1)
-    return frames
+    return { bytes: pending.subarray(0, start), events }
   }
 }
 
@@ -53,17 +61,17 @@
   return -1
 }
 
-function parseFrame (bytes: Buffer): EventFrame {
-  const frame: EventFrame = { bytes }
+/** The event in a frame; undefined for a frame without data. */
+function parseFrame (bytes: Buffer, start: number, end: number): StreamEvent | undefined {
+  let id: string | undefined
   const data: string[] = []
-  for (const line of bytes.toString('latin1').split(/\r?\n/)) {
+  for (const line of bytes.toString('latin1', start, end).split(/\r?\n/)) {
     const colon = line.indexOf(':')
     if (colon <= 0) continue
     const value = line.slice(colon + 1).replace(/^ /, '')
     const field = line.slice(0, colon)
-    if (field === 'id') frame.id = value
+    if (field === 'id') id = value
     if (field === 'data') data.push(value)
   }
-  if (data.length > 0) frame.data = data.join('\n')
-  return frame
+  return data.length === 0 ? undefined : { id, data: data.join('\n'), endOffset: end }
 }
--- a/packages/node/src/node/boundedClient.ts
+++ b/packages/node/src/node/boundedClient.ts
@@ -1,6 +1,7 @@
 /** HTTP clients that limit the bytes which a backend server may send on a connection, in answers and besides them. */
 import type { Socket } from 'node:net'
 import { buildConnector, Client, type Dispatcher, Pool } from 'undici'
+import { ByteCollector } from './byteCollector.js'
 
 /** Bytes without the end of a head, a part of a body or the end of an answer: endless heads, chunk extensions, blank lines between answers. */
 const MAX_BYTES_WITHOUT_PROGRESS = 256 * 1024
@@ -175,6 +176,9 @@
 class GuardedHandler implements Dispatcher.DispatchHandler {
   private _informationalHeadCount = 0
   private _guard: ConnectionGuard | undefined
+  /** Parts of the body that one read has brought and that are not passed on yet. */
+  private readonly _received = new ByteCollector()
+  private _isFlushDue = false
 
   constructor (private readonly _handler: Dispatcher.DispatchHandler) {}
 
@@ -197,12 +201,22 @@
     this._handler.onResponseStart?.(controller, status, headers, statusMessage)
   }
 
+  /** Small chunks are passed on together, once all bytes of the read are parsed: each one would cost its receivers as much as a large one. */
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this._guard?.markProgress()
-    this._handler.onResponseData?.(controller, chunk)
+    this._received.add(chunk)
+    if (this._isFlushDue) return
+    this._isFlushDue = true
+    queueMicrotask(() => this._flush(controller))
+  }
+
+  private _flush (controller: Dispatcher.DispatchController): void {
+    this._isFlushDue = false
+    if (this._received.byteCount > 0) this._handler.onResponseData?.(controller, this._received.concat())
   }
 
   onResponseEnd (controller: Dispatcher.DispatchController, trailers: Record<string, string | string[]>): void {
+    this._flush(controller)
     // undici takes a reset for the end of an answer that ends with its connection.
     const failure = this._guard?.failure
     if (failure !== undefined) {
@@ -214,6 +228,7 @@
   }
 
   onResponseError (controller: Dispatcher.DispatchController, error: Error): void {
+    this._flush(controller)
     this._guard?.endAnswer()
     this._handler.onResponseError?.(controller, error)
   }
--- a/packages/node/src/node/routed/answerRelay.ts
+++ b/packages/node/src/node/routed/answerRelay.ts
@@ -1,9 +1,11 @@
 /** Forwards a worker's answer to the caller: streams event by event, other answers as whole bodies up to a size. */
 import { EventSequence } from '@trefoilshunt/core'
-import { type EventFrame, EventFrameSplitter } from '../../common/routed/eventFrames.js'
+import { EventFrameSplitter, type StreamEvent } from '../../common/routed/eventFrames.js'
 import type { IAnswerSink } from '../../common/routed/routedRequest.js'
 import type { WorkerAnswerHead } from '../../common/routed/workerClient.js'
+import { ByteCollector } from '../byteCollector.js'
 import { steadyNowMs } from '../steadyClock.js'
+import { HeldBytes } from './heldBytes.js'
 
 /** Bodies up to this size are forwarded when they are complete, larger ones while they arrive. */
 const MAX_BUFFERED_BYTES = 512 * 1024
@@ -11,11 +13,14 @@
 const MAX_HELD_BYTES = 256 * 1024
 /** A stream whose next event is not complete after this many bytes has failed. */
 const MAX_EVENT_BYTES = 1024 * 1024
+/** A stream that sends more comments and blank lines than this without an event has failed. */
+const MAX_BYTES_WITHOUT_EVENT = 64 * 1024
 /** Largest output of a turn that can be retained. */
 const MAX_OUTPUT_BYTES = 8 * 1024 * 1024
 const FIRST_SUCCESS_STATUS = 200
 const FIRST_REDIRECT_STATUS = 300
 const LINE_FEED = 10
+const LINE_FEED_BYTES = Buffer.of(LINE_FEED)
 const CARRIAGE_RETURN = 13
 
 export interface AnswerRelayOptions {
@@ -23,7 +28,9 @@
   lastEventId?: string
   /** True if `output` is needed. */
   retainsOutput?: boolean
-  /** Called before each event goes to the caller. */
+  /** What the requests of the node hold together. */
+  heldBytes?: HeldBytes
+  /** Called before events go to the caller. */
   onWillForwardEvent?: () => void
   /** Called with true when no more should be read from the worker, because what was read can't be forwarded yet, and with false when reading may continue. */
   onBackpressure?: (isPaused: boolean) => void
@@ -41,7 +48,10 @@
  */
 export class AnswerRelay {
   private readonly _deferredActions: Array<() => void> = []
-  private readonly _forwardedData: string[] = []
+  private readonly _forwardedOutput = new ByteCollector()
+  private readonly _nodeHeldBytes: HeldBytes
+  /** Bytes that the node's total counts for this answer. */
+  private _countedBytes = 0
   private _maxEvents = Number.POSITIVE_INFINITY
   private _receivedEvents = 0
   private _outputBytes = 0
@@ -55,8 +65,8 @@
   private _head: WorkerAnswerHead | undefined
   private _isStream = false
   private _splitter = new EventFrameSplitter()
-  private _buffered: Uint8Array[] = []
-  private _bufferedBytes = 0
+  private readonly _buffered = new ByteCollector()
+  private _bytesWithoutEvent = 0
   private _firstByteAtMs: number | undefined
   private _eventCount = 0
   private readonly _sequence: EventSequence
@@ -67,6 +77,7 @@
   constructor (private readonly _sink: IAnswerSink, private readonly _options: AnswerRelayOptions = {}) {
     this._lastEventId = _options.lastEventId
     this._sequence = new EventSequence(_options.lastEventId)
+    this._nodeHeldBytes = _options.heldBytes ?? new HeldBytes()
     _sink.onDrained = () => {
       this._isSinkFull = false
       this._updateBackpressure()
@@ -128,9 +139,9 @@
     return this._isBackpressured
   }
 
-  /** The data of each forwarded event, each followed by a line feed; empty without `retainsOutput`. */
-  get output (): Buffer {
-    return Buffer.from(this._forwardedData.map(data => `${data}\n`).join(''), 'latin1')
+  /** Returns the data of each forwarded event, each followed by a line feed; empty without `retainsOutput`. To be called once. */
+  takeOutput (): Buffer {
+    return this._forwardedOutput.concat()
   }
 
   /** Holds back streams and buffered bodies until `resumeForwarding`. */
@@ -159,8 +170,9 @@
     this._head = undefined
     this._isStream = false
     this._splitter = new EventFrameSplitter()
-    this._buffered = []
-    this._bufferedBytes = 0
+    this._bytesWithoutEvent = 0
+    this._buffered.drain()
+    this._countHeldBytes()
   }
 
   handleHead (head: WorkerAnswerHead): void {
@@ -198,6 +210,9 @@
   stop (): void {
     this._isStopped = true
     this._deferredActions.length = 0
+    this._heldBytes = 0
+    this._buffered.drain()
+    this._countHeldBytes()
   }
 
   private _begin (head: WorkerAnswerHead): void {
@@ -208,49 +223,81 @@
   }
 
   private _handleStreamData (bytes: Uint8Array): string | undefined {
-    for (const frame of this._splitter.push(bytes)) {
-      const problem = frame.data === undefined ? undefined : this._checkEvent(frame)
-      if (problem !== undefined) return problem
-      if (this._options.retainsOutput === true) this._outputBytes += frame.data?.length ?? 0
-      this.whenForwarding(() => this._forwardEvent(frame))
+    const batch = this._splitter.push(bytes)
+    let accepted = { bytes: batch.bytes, events: batch.events }
+    let problem: string | undefined
+    for (const [index, event] of batch.events.entries()) {
+      problem = this._checkEvent(event)
+      if (problem === undefined) continue
+      const events = batch.events.slice(0, index)
+      accepted = { bytes: batch.bytes.subarray(0, events.at(-1)?.endOffset ?? 0), events }
+      break
+    }
+    if (accepted.bytes.length > 0) {
+      const { length, last, output } = this._summarize(accepted.events)
+      this.whenForwarding(() => this._forwardEvents(accepted.bytes, length, last, output))
     }
+    if (problem !== undefined) return problem
+    const lastEnd = batch.events.at(-1)?.endOffset
+    this._bytesWithoutEvent = batch.bytes.length - (lastEnd ?? 0) + (lastEnd === undefined ? this._bytesWithoutEvent : 0)
+    if (this._bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) return 'comments and blank lines without an event'
     if (this._outputBytes > MAX_OUTPUT_BYTES) return 'the output is too large to be retained'
     return this._splitter.rest.length > MAX_EVENT_BYTES ? 'an event without end' : undefined
   }
 
-  private _checkEvent ({ id }: EventFrame): string | undefined {
+  private _checkEvent ({ id }: StreamEvent): string | undefined {
     return ++this._receivedEvents > this._maxEvents ? 'more events than the request may generate' : this._sequence.accept(id)
   }
 
+  /** What is needed of events until they are forwarded: many of them may be held back. */
+  private _summarize (events: readonly StreamEvent[]): { length: number, last?: Pick<StreamEvent, 'id'>, output?: Buffer } {
+    const last = events.at(-1)
+    const summary = { length: events.length, last: last === undefined ? undefined : { id: last.id } }
+    if (this._options.retainsOutput !== true || last === undefined) return summary
+    const output = Buffer.concat(events.flatMap(({ data }) => [Buffer.from(data, 'latin1'), LINE_FEED_BYTES]))
+    this._outputBytes += output.length
+    return { ...summary, output }
+  }
+
   private _handleBodyData (bytes: Uint8Array): undefined {
-    this._buffered.push(bytes)
-    this._bufferedBytes += bytes.length
-    if (this._bufferedBytes > MAX_BUFFERED_BYTES && this._isForwarding) this._forwardBuffered()
+    this._buffered.add(bytes)
+    this._countHeldBytes()
+    if ((this._buffered.byteCount > MAX_BUFFERED_BYTES || this._nodeHeldBytes.isExceeded) && this._isForwarding) this._forwardBuffered()
   }
 
-  private _forwardEvent (frame: EventFrame): void {
+  private _forwardEvents (bytes: Buffer, eventCount: number, last: Pick<StreamEvent, 'id'> | undefined, output: Buffer | undefined): void {
     if (this._isStopped) return
     this._options.onWillForwardEvent?.()
-    this._write(frame.bytes)
-    if (frame.data === undefined) return
-    this._eventCount++
-    if (this._options.retainsOutput === true) this._forwardedData.push(frame.data)
-    this._isLastEventIdentified = frame.id !== undefined
-    if (frame.id !== undefined) this._lastEventId = frame.id
+    this._write(bytes)
+    if (last === undefined) return
+    this._eventCount += eventCount
+    if (output !== undefined) this._forwardedOutput.add(output)
+    this._isLastEventIdentified = last.id !== undefined
+    if (last.id !== undefined) this._lastEventId = last.id
   }
 
   private _forwardBuffered (): void {
     if (this._head === undefined) return
     this._begin(this._head)
-    for (const bytes of this._buffered.splice(0)) this._write(bytes)
+    for (const bytes of this._buffered.drain()) this._write(bytes)
+    this._countHeldBytes()
   }
 
   private _write (bytes: Uint8Array): void {
     if (!this._sink.write(bytes)) this._isSinkFull = true
   }
 
+  /** Updates what the node's total counts for this answer. */
+  private _countHeldBytes (): void {
+    const heldBytes = Math.max(this._heldBytes, this._buffered.byteCount)
+    this._nodeHeldBytes.change(heldBytes - this._countedBytes)
+    this._countedBytes = heldBytes
+  }
+
   private _updateBackpressure (): void {
-    const isBackpressured = this._isSinkFull || (!this._isForwarding && this._heldBytes > MAX_HELD_BYTES)
+    this._countHeldBytes()
+    const isHoldingEnough = this._heldBytes > (this._nodeHeldBytes.isExceeded ? 0 : MAX_HELD_BYTES)
+    const isBackpressured = this._isSinkFull || (!this._isForwarding && isHoldingEnough)
     if (isBackpressured === this._isBackpressured) return
     this._isBackpressured = isBackpressured
     this._options.onBackpressure?.(isBackpressured)
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -71,6 +71,7 @@
     this._relay = new AnswerRelay(_sink, {
       lastEventId: _request.lastEventId,
       retainsOutput: _route.retainsTurns,
+      heldBytes: _dependencies.heldBytes,
       onWillForwardEvent: () => { if (this._latestAttempt !== undefined) this._stream.recordEvent(this._latestAttempt.worker) },
       onBackpressure: isPaused => this._latestAttempt?.setPaused(isPaused)
     })
@@ -328,7 +329,7 @@
     const startedMs = steadyNowMs()
     const end: TurnEnd = {
       ...this._createTurnEnd(this._usedTokens),
-      turn: { turnId: requestId, programId: program.programId, previousTurnId: program.previousTurnId, input: body, output: this._relay.output, keepMs: this._route.turnRetentionMs, worker: this._latestAttempt?.worker.workerId }
+      turn: { turnId: requestId, programId: program.programId, previousTurnId: program.previousTurnId, input: body, output: this._relay.takeOutput(), keepMs: this._route.turnRetentionMs, worker: this._latestAttempt?.worker.workerId }
     }
     const outcome = await this._dependencies.turns.end(end, this._expiresAtMs - TURN_END_MARGIN_MS)
     this._dependencies.metrics.observeMs('turn_end_ms', steadyNowMs() - startedMs, { outcome })
--- a/packages/node/src/node/routed/routedCallDependencies.ts
+++ b/packages/node/src/node/routed/routedCallDependencies.ts
@@ -1,6 +1,7 @@
 /** The objects of a node that handle its routed requests. */
 import type { IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, LogFields } from '@trefoilshunt/core'
 import type { Metrics } from '../../common/metrics.js'
+import type { HeldBytes } from './heldBytes.js'
 import type { OpenRequestReporter } from './openRequestReporter.js'
 import type { OwnRates } from './ownRates.js'
 import type { IWorkerCaller } from './paths/workerGateway.js'
@@ -34,6 +35,8 @@
   suspectGate: SuspectGate
   /** Requests that are at workers, for peers. */
   openRequests: OpenRequestReporter
+  /** What the requests hold of their workers' answers. */
+  heldBytes: HeldBytes
   metrics: Metrics
   plannedStop: PlannedStop
   /** Number of live nodes, among which the connections to a worker are divided. */
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -13,6 +13,7 @@
 import { delay, steadyNowMs } from '../steadyClock.js'
 import { PoisonRequestDetector } from './poisonRequestDetector.js'
 import { type IRoutedCodec, ClusterView, NODE_TOPIC } from './clusterView.js'
+import { HeldBytes } from './heldBytes.js'
 import { NodeDirectory } from './nodeDirectory.js'
 import { NoticeExchange } from './noticeExchange.js'
 import { NodeGauges } from './nodeGauges.js'
@@ -267,6 +268,7 @@
       durations: new RouteDurations(),
       workers: gateway,
       turns: this._turns,
+      heldBytes: new HeldBytes(),
       poisonRequestDetector: this._poisonRequestDetector,
       suspectGate: this._suspectGate,
       openRequests: this._openRequests,
