Bounded client: what a handler throws fails its call, not the process

Cause: since small chunks are joined, handlers get them in a microtask, where nothing caught what they throw (an event without end in the own API's client).

Change: the client aborts the call with it, as undici does.

Test: backendClient, which ended the whole test run before (found by it).

--- a/packages/node/src/node/boundedClient.ts
+++ b/packages/node/src/node/boundedClient.ts
@@ -207,18 +207,26 @@
     this._received.add(chunk)
     if (this._isFlushDue) return
     this._isFlushDue = true
-    queueMicrotask(() => this._flush(controller))
+    queueMicrotask(() => {
+      const failure = this._flush(controller)
+      if (failure !== undefined) controller.abort(failure)
+    })
   }
 
-  private _flush (controller: Dispatcher.DispatchController): void {
+  /** Passes on what was received. Returns what the handler throws, which fails the call. */
+  private _flush (controller: Dispatcher.DispatchController): Error | undefined {
     this._isFlushDue = false
-    if (this._received.byteCount > 0) this._handler.onResponseData?.(controller, this._received.concat())
+    if (this._received.byteCount === 0) return undefined
+    try {
+      this._handler.onResponseData?.(controller, this._received.concat())
+    } catch (error) {
+      return error instanceof Error ? error : new Error(String(error))
+    }
   }
 
   onResponseEnd (controller: Dispatcher.DispatchController, trailers: Record<string, string | string[]>): void {
-    this._flush(controller)
     // undici takes a reset for the end of an answer that ends with its connection.
-    const failure = this._guard?.failure
+    const failure = this._flush(controller) ?? this._guard?.failure
     if (failure !== undefined) {
       this.onResponseError(controller, failure)
       return
