Partition owner: a rejected import leaves recorded turns alone

Cause: when the log rejected an imported turn, the owner removed the whole chain that came with it, also turns that were recorded. The end of a turn that was known already had the same fault. Found by reading the change.

Change: only turns that the append would have added are forgotten.

Test: partitionOwner, one new, which failed before.

--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -207,6 +207,11 @@
     return missingTurns.flatMap(turn => encodeTurn(turn, this._options.maxRecordBytes))
   }
 
+  /** True if the turn is held, whether or not its whole chain is. */
+  holds (turnId: string): boolean {
+    return this._turns.has(turnId)
+  }
+
   /** The turns from the first to `turnId`; undefined when one of them is not held. */
   chainOf (turnId: string): RetainedTurn[] | undefined {
     return this._turns.chainOf(turnId)
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/partitionOwner.ts
@@ -231,6 +231,7 @@
   private async _recordEnd (end: TurnEnd): Promise<RecordOutcome> {
     const pending = this._pendingEnds.get(end.requestId)
     if (pending !== undefined) return await pending
+    const isKnown = this._partitionState.holds(end.requestId)
     const records = this._partitionState.recordEnd(end, steadyNowMs())
     if (records.length === 0) return 'recorded'
     if (end.turn === undefined) {
@@ -242,7 +243,7 @@
     this._pendingEnds.set(end.requestId, appended)
     const outcome = await appended
     this._pendingEnds.delete(end.requestId)
-    if (outcome === 'rejected') this._queue.appendLazily(this._partitionState.forgetTurns([end.turn]))
+    if (outcome === 'rejected' && !isKnown) this._queue.appendLazily(this._partitionState.forgetTurns([end.turn]))
     return outcome
   }
 
@@ -270,15 +271,16 @@
 
   /** Adds turns of other partitions that a turn of this one continues. That turn's answer is held back until they are in the log. */
   importTurns (chain: readonly RetainedTurn[]): void {
-    const records = this._partitionState.importTurns(chain, steadyNowMs())
+    const imported = chain.filter(({ turnId }) => !this._partitionState.holds(turnId))
+    const records = this._partitionState.importTurns(imported, steadyNowMs())
     if (records.length === 0) return
     const recorded = this._appendTurns(records).then(outcome => {
-      if (outcome === 'rejected') this._queue.appendLazily(this._partitionState.forgetTurns(chain))
+      if (outcome === 'rejected') this._queue.appendLazily(this._partitionState.forgetTurns(imported))
       return outcome === 'recorded'
     })
-    for (const { turnId } of chain) this._pendingImports.set(turnId, recorded)
+    for (const { turnId } of imported) this._pendingImports.set(turnId, recorded)
     void recorded.then(() => {
-      for (const { turnId } of chain) {
+      for (const { turnId } of imported) {
         if (this._pendingImports.get(turnId) === recorded) this._pendingImports.delete(turnId)
       }
     })
--- a/packages/node/test/node/routed/fakeLog.ts
+++ b/packages/node/test/node/routed/fakeLog.ts
@@ -25,7 +25,7 @@
   maxRecordBytes = Number.POSITIVE_INFINITY
   maxCallBytes = Number.POSITIVE_INFINITY
   /** Appends with such a record are rejected. */
-  isRejected: (record: { key: string }) => boolean = () => false
+  isRejected: (record: { key: string, value?: Uint8Array }) => boolean = () => false
   /** Sizes of the calls that were appended or rejected. */
   readonly callBytes: number[] = []
   rejectedCount = 0
--- a/packages/node/test/node/routed/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/partitionOwner.test.ts
@@ -333,6 +333,23 @@
   assert.is(await owner.end(createEnd('d')), 'recorded')
 })
 
+test('turns that are recorded stay when the log rejects one that is imported with them', async () => {
+  const log = createLimitedLog()
+  const first = createOwner(log)
+  await first.recover()
+  for (const end of [createEnd('a'), createEnd('b', 'a')]) assert.is(await first.end(end), 'recorded')
+  const owner = createOwner(log, { generation: 2 })
+  await owner.recover()
+  log.isRejected = ({ key, value }) => key.startsWith('t/c') && value !== undefined
+  const chain = [...owner.chainOf('b') ?? [], createEnd('c', 'b').turn].filter(turn => turn !== undefined)
+  owner.importTurns(chain)
+  await wait(600)
+  assert.is(owner.chainOf('c'), undefined)
+  const successor = createOwner(log, { generation: 3 })
+  await successor.recover()
+  assert.is(successor.chainOf('b')?.length, 2)
+})
+
 test('a turn is not granted while the log rejects the record of its account', async () => {
   const log = createLimitedLog()
   const owner = createOwner(log)
