--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -326,6 +326,11 @@
     }
   }
 
+  /** To be called when the server for callers has closed a connection because of what its caller sent. */
+  reportClosedConnection (caller: string, detail: string): void {
+    this._write('warn', 'callerConnectionClosed', { caller, detail })
+  }
+
   /** Addresses, `host:port`, to which callers of a zone should connect. */
   callerAddresses (zone: string | undefined): string[] {
     return this._directory.callerAddresses(zone, { isReady: this.isReady, reachesWorkers: !this._links.isCutOff, cores: this._cores, busyShare: this._loopUtilization.read() })
