--- a/packages/core/src/common/turns/partitionState.ts
+++ b/packages/core/src/common/turns/partitionState.ts
@@ -84,7 +84,6 @@
   private readonly _promptCache = new PromptCacheIndex()
   /** Turns of which some parts are not read yet, by shortened turn id. */
   private readonly _incompleteTurns = new Map<string, IncompleteTurn>()
-
   private readonly _retentionMarginMs: number
 
   constructor (private readonly _options: PartitionStateOptions) {
--- a/packages/node/src/node/routed/answerRelay.ts
+++ b/packages/node/src/node/routed/answerRelay.ts
@@ -1,6 +1,6 @@
 /** Forwards a worker's answer to the caller: streams event by event, other answers as whole bodies up to a size. */
 import { EventSequence } from '@trefoilshunt/core'
-import { EventFrameSplitter, type StreamEvent } from '../../common/routed/eventFrames.js'
+import { type EventBatch, EventFrameSplitter, type StreamEvent } from '../../common/routed/eventFrames.js'
 import type { IAnswerSink } from '../../common/routed/routedRequest.js'
 import type { WorkerAnswerHead } from '../../common/routed/workerClient.js'
 import { ByteCollector } from '../byteCollector.js'
@@ -20,7 +20,6 @@
 const FIRST_SUCCESS_STATUS = 200
 const FIRST_REDIRECT_STATUS = 300
 const LINE_FEED = 10
-const LINE_FEED_BYTES = Buffer.of(LINE_FEED)
 const CARRIAGE_RETURN = 13
 
 export interface AnswerRelayOptions {
@@ -36,6 +35,15 @@
   onBackpressure?: (isPaused: boolean) => void
 }
 
+/** What is needed of events until they are forwarded. */
+interface EventSummary {
+  eventCount: number
+  /** Id of the last event; absent if it has none. */
+  lastEventId?: string
+  /** Their data, each followed by a line feed; absent if it isn't retained. */
+  output?: Buffer
+}
+
 /**
  * The answer to one request, which may come from several attempts: after a failed one, the next resumes the stream. While
  * forwarding is paused, streams and bodies are held back in order.
@@ -224,20 +232,14 @@
 
   private _handleStreamData (bytes: Uint8Array): string | undefined {
     const batch = this._splitter.push(bytes)
-    let accepted = { bytes: batch.bytes, events: batch.events }
-    let problem: string | undefined
     for (const [index, event] of batch.events.entries()) {
-      problem = this._checkEvent(event)
+      const problem = this._checkEvent(event)
       if (problem === undefined) continue
       const events = batch.events.slice(0, index)
-      accepted = { bytes: batch.bytes.subarray(0, events.at(-1)?.endOffset ?? 0), events }
-      break
+      this._acceptEvents({ bytes: batch.bytes.subarray(0, events.at(-1)?.endOffset ?? 0), events })
+      return problem
     }
-    if (accepted.bytes.length > 0) {
-      const { length, last, output } = this._summarize(accepted.events)
-      this.whenForwarding(() => this._forwardEvents(accepted.bytes, length, last, output))
-    }
-    if (problem !== undefined) return problem
+    this._acceptEvents(batch)
     const lastEnd = batch.events.at(-1)?.endOffset
     this._bytesWithoutEvent = batch.bytes.length - (lastEnd ?? 0) + (lastEnd === undefined ? this._bytesWithoutEvent : 0)
     if (this._bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) return 'comments and blank lines without an event'
@@ -249,12 +251,19 @@
     return ++this._receivedEvents > this._maxEvents ? 'more events than the request may generate' : this._sequence.accept(id)
   }
 
-  /** What is needed of events until they are forwarded: many of them may be held back. */
-  private _summarize (events: readonly StreamEvent[]): { length: number, last?: Pick<StreamEvent, 'id'>, output?: Buffer } {
+  private _acceptEvents ({ bytes, events }: EventBatch): void {
+    if (bytes.length === 0) return
+    // Many events may be held back: their objects must not be.
+    const summary = this._summarize(events)
+    this.whenForwarding(() => this._forwardEvents(bytes, summary))
+  }
+
+  private _summarize (events: readonly StreamEvent[]): EventSummary {
     const last = events.at(-1)
-    const summary = { length: events.length, last: last === undefined ? undefined : { id: last.id } }
-    if (this._options.retainsOutput !== true || last === undefined) return summary
-    const output = Buffer.concat(events.flatMap(({ data }) => [Buffer.from(data, 'latin1'), LINE_FEED_BYTES]))
+    if (last === undefined) return { eventCount: 0 }
+    const summary = { eventCount: events.length, lastEventId: last.id }
+    if (this._options.retainsOutput !== true) return summary
+    const output = Buffer.from(events.map(({ data }) => `${data}\n`).join(''), 'latin1')
     this._outputBytes += output.length
     return { ...summary, output }
   }
@@ -265,15 +274,15 @@
     if ((this._buffered.byteCount > MAX_BUFFERED_BYTES || this._nodeHeldBytes.isExceeded) && this._isForwarding) this._forwardBuffered()
   }
 
-  private _forwardEvents (bytes: Buffer, eventCount: number, last: Pick<StreamEvent, 'id'> | undefined, output: Buffer | undefined): void {
+  private _forwardEvents (bytes: Buffer, { eventCount, lastEventId, output }: EventSummary): void {
     if (this._isStopped) return
     this._options.onWillForwardEvent?.()
     this._write(bytes)
-    if (last === undefined) return
+    if (eventCount === 0) return
     this._eventCount += eventCount
     if (output !== undefined) this._forwardedOutput.add(output)
-    this._isLastEventIdentified = last.id !== undefined
-    if (last.id !== undefined) this._lastEventId = last.id
+    this._isLastEventIdentified = lastEventId !== undefined
+    if (lastEventId !== undefined) this._lastEventId = lastEventId
   }
 
   private _forwardBuffered (): void {
