Turns: a stream that its caller takes up is retained with all events

What callers saw: a turn's stream was cut, its caller took it up (`Last-Event-Id`) and got the rest. It happened after the loss of a node, a reset of the caller's connection, at another node or the same one, and after a worker broke off.

Cause: `RoutedCall._finishTurn` retained what this attempt had forwarded. For a request with `Last-Event-Id` that is the end of the turn only, and nothing kept what the earlier attempts had forwarded.

A stream that is begun anew held before, too.

Change: - `StreamOutputs`: on routes that retain turns and may be resumed, a node keeps the events that it forwards, and writes them to one peer in its zone and one in another before it writes them to the caller. A killed process loses nothing that the caller has. - A node at which a caller takes a stream up asks those peers, which note the new attempt. `resolveEarlierEvents` decides which events the caller holds: those up to `Last-Event-Id`, of the attempt that brought it. What an attempt forwarded beyond the event at which another one took over does not count. If attempts differ, or events of one may be missing, the request is refused before it runs (503, not run). - The new attempt keeps the events of the earlier ones and its own, so that a third node needs only its holders. - The retained output, its limit of size and the cached part of the prompt count the events of all attempts. Used tokens count those of each attempt once, as before. - A retained turn with `Last-Event-Id` is refused if the route's streams are not resumed, or `Resumes` is missing. - Peers of earlier builds do not announce that they hold events: they get none, and are not asked.

--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -1,5 +1,6 @@
 /** Messages between the nodes that serve routed requests. Sent as MessagePack, because they carry prompts and answers as bytes. */
 import { type CachedPart, type GrantRequest, hash32, type KeyedRecord, type PlacementEnd, type PlacementRequest, type ProbeResult, type WorkerNotice, type RetainedTurn, type SuspectTurnEnd, type SuspectTurnReply, type TurnEnd } from '@trefoilshunt/core'
+import type { StreamAttempt } from './earlierEvents.js'
 import type { CallFailure, WorkerAnswerHead, WorkerCall } from './workerClient.js'
 
 /** How a node can be reached. */
@@ -72,6 +73,8 @@
   readsCrashRecords?: boolean
   /** True if the sender takes reports of open requests and grants turns of suspect ones; absent from nodes of earlier builds. */
   takesRequestReports?: boolean
+  /** True if the sender keeps the events of streams for peers; absent from nodes of earlier builds. */
+  holdsStreamOutputs?: boolean
   /** Service shards with rate limits whose slots the sender assigns; absent if there are none. */
   rateLimitedShards?: string[]
   /** What the workers say that the sender coordinates, rate limits and that they leave; absent if there is nothing. */
@@ -185,6 +188,10 @@
   | { type: 'streamsBegun', streams: StreamBeginning[] }
   /** Requests the origin of a stream that the sender does not know, and what the peer knows of the versions of a service. */
   | { type: 'findStreamOrigin', requestId: string | undefined, service: string }
+  /** Events of a stream that the sender forwards, from an offset among those that the caller holds after it. Gets no reply. */
+  | { type: 'streamOutput', streamId: string, attemptId: string, resumedAfter?: string, ancestors: string[], offset: number, bytes: Uint8Array, isEnded: boolean }
+  /** Requests what earlier attempts of a caller forwarded of a stream; the peer remembers the new attempt. */
+  | { type: 'findStreamOutput', streamId: string, attemptId: string, lastEventId: string }
   /** Looks a turn up in every partition that the peer owns. */
   | { type: 'findChain', turnId: string }
   /** Requests the newest records of a topic that the sender can't read, or of which the peer has newer ones. `knownDigest` is that of the sender's content. */
@@ -203,6 +210,8 @@
   | PlaceReply
   /** `origin` is absent if the peer does not know it. `version` is that of the service's workers if the node sees a single one. */
   | { type: 'streamOrigin', origin?: StreamOrigin, versions: VersionKnowledge, version?: string }
+  /** What the peer knows of the attempts at a stream. */
+  | { type: 'streamAttempts', attempts: StreamAttempt[] }
   /** `chain` is absent if the turn was not found; `partitions` are those that were searched by their confirmed owner. */
   | { type: 'chain', chain?: RetainedTurn[], partitions: number[] }
   /** `records` is absent if the peer has not read the topic, sends it to others at the moment, or has the content that the sender knows (`isUnchanged`). */
--- a/packages/node/src/common/routed/routedRequest.ts
+++ b/packages/node/src/common/routed/routedRequest.ts
@@ -66,6 +66,8 @@
   Stopping: 'stopping',
   /** The software version that began the stream is not known, or has no worker. */
   StreamOriginUnavailable: 'streamOriginUnavailable',
+  /** The events that the caller holds of a turn are not known, so that it could not be retained whole. */
+  StreamOutputUnavailable: 'streamOutputUnavailable',
   OutcomeUnknown: 'fateUnknown',
   TimedOut: 'timedOut'
 } as const
--- a/packages/node/src/node/routed/answerRelay.ts
+++ b/packages/node/src/node/routed/answerRelay.ts
@@ -29,8 +29,8 @@
   retainsOutput?: boolean
   /** What the requests of the node hold together. */
   heldBytes?: HeldBytes
-  /** Called before events go to the caller. */
-  onWillForwardEvent?: () => void
+  /** Called with events, and frames without data between them, before they go to the caller. */
+  onWillForwardEvents?: (bytes: Uint8Array) => void
   /** Called with true when no more should be read from the worker, because what was read can't be forwarded yet, and with false when reading may continue. */
   onBackpressure?: (isPaused: boolean) => void
 }
@@ -147,7 +147,13 @@
     return this._isBackpressured
   }
 
-  /** Returns the data of each forwarded event, each followed by a line feed; empty without `retainsOutput`. To be called once. */
+  /** The caller holds output from an earlier attempt, which the output of this one follows. To be called before the first attempt at a worker. */
+  continueOutput (output: Uint8Array): void {
+    this._outputBytes += output.length
+    this._forwardedOutput.add(output)
+  }
+
+  /** Returns the data of each event that the caller holds, each followed by a line feed; empty without `retainsOutput`. To be called once. */
   takeOutput (): Buffer {
     return this._forwardedOutput.concat()
   }
@@ -276,7 +282,7 @@
 
   private _forwardEvents (bytes: Buffer, { eventCount, lastEventId, output }: EventSummary): void {
     if (this._isStopped) return
-    this._options.onWillForwardEvent?.()
+    this._options.onWillForwardEvents?.(bytes)
     this._write(bytes)
     if (eventCount === 0) return
     this._eventCount += eventCount
--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -14,6 +14,7 @@
 import type { ReportedRequests } from './reportedRequests.js'
 import type { SuspectGate } from './suspectGate.js'
 import type { StreamOrigins } from './streamOrigins.js'
+import type { StreamOutputs } from './streamOutputs.js'
 
 const LOOP_DELAY_RESOLUTION_MS = 20
 const NS_PER_MS = 1e6
@@ -28,6 +29,7 @@
   clusterView: ClusterView
   coordinator: PlacementCoordinator
   streamOrigins: StreamOrigins
+  streamOutputs: StreamOutputs
   notices: IWorkerNotices
   poisonRequestDetector: PoisonRequestDetector
   openRequests: OpenRequestReporter
@@ -56,7 +58,7 @@
 
   /** Current values by name. */
   read (): Record<string, number> {
-    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, notices, poisonRequestDetector, openRequests, reportedRequests, suspectGate } = this._options
+    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, streamOutputs, notices, poisonRequestDetector, openRequests, reportedRequests, suspectGate } = this._options
     const memory = process.memoryUsage()
     const cpu = process.cpuUsage()
     return {
@@ -81,6 +83,8 @@
       peer_requests_held: reportedRequests.size,
       suspect_turns: suspectGate.size,
       stream_origins_held: streamOrigins.size,
+      stream_outputs_held: streamOutputs.size,
+      stream_output_bytes_held: streamOutputs.byteCount,
       placements_open: coordinator.openCount,
       placements_queued: coordinator.queueLength,
       append_backlog: served.reduce((total, owner) => total + owner.backlog, 0),
--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -130,6 +130,11 @@
     return this._connections.get(node)?.isConnected ?? false
   }
 
+  /** Bytes that were sent to a peer and are not yet passed on to the operating system; 0 for an unknown peer. */
+  backlogBytes (node: string): number {
+    return this._connections.get(node)?.socket?.writableLength ?? 0
+  }
+
   /** Sends the status to every connected peer, and closes connections on which nothing was received within the heartbeat timeout. */
   sendStatus (status: NodeStatus): void {
     const nowMs = steadyNowMs()
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -18,8 +18,8 @@
 const BUSY_RETRY_AFTER_MS = 120
 /** Retry-after while the owner of the caller's program is unavailable, for example while it is being replaced. */
 const OWNER_RETRY_AFTER_MS = 300
-/** Retry-after while it isn't known which software version began the caller's stream, for example while peers that know it reconnect. */
-const ORIGIN_RETRY_AFTER_MS = 300
+/** Retry-after while it isn't known how the caller's stream began, for example while peers that know it reconnect. */
+const STREAM_RETRY_AFTER_MS = 300
 /** A suspect request that is at a worker asks for a turn again after this time, then after twice as long, while that is at most a share of the time left. */
 const FIRST_TURN_PAUSE_MS = 20
 const TURN_PAUSE_SHARE = 0.25
@@ -72,7 +72,7 @@
       lastEventId: _request.lastEventId,
       retainsOutput: _route.retainsTurns,
       heldBytes: _dependencies.heldBytes,
-      onWillForwardEvent: () => { if (this._latestAttempt !== undefined) this._stream.recordEvent(this._latestAttempt.worker) },
+      onWillForwardEvents: bytes => { if (this._latestAttempt !== undefined) this._stream.recordEvents(this._latestAttempt.worker, bytes) },
       onBackpressure: isPaused => this._latestAttempt?.setPaused(isPaused)
     })
   }
@@ -86,7 +86,7 @@
     this._unregister = plannedStop.register(this)
     this._sink.onCallerDisconnected = () => this._onCallerDisconnected()
     this._expiryTimer = setTimeout(() => this._expire(), Math.max(0, this._timeLeftMs))
-    if (this._stream.isTakenUp) void this._resolveOrigin()
+    if (this._stream.isTakenUp) void this._resolveStream()
     else this._begin()
   }
 
@@ -95,11 +95,15 @@
     else this._startAttempt()
   }
 
-  private async _resolveOrigin (): Promise<void> {
-    const problem = await this._stream.resolveOrigin()
+  private async _resolveStream (): Promise<void> {
+    const problem = await this._stream.resolve(this._expiresAtMs)
     if (this._isDone) return
-    if (problem === undefined) this._begin()
-    else this._refuse({ status: 503, reason: RefusalReason.StreamOriginUnavailable, retryAfterMs: ORIGIN_RETRY_AFTER_MS }, problem)
+    if (problem !== undefined) {
+      this._refuse({ status: 503, reason: problem.reason, retryAfterMs: STREAM_RETRY_AFTER_MS }, problem.detail)
+      return
+    }
+    if (this._stream.earlierEvents !== undefined) this._relay.continueOutput(this._stream.earlierEvents.output)
+    this._begin()
   }
 
   private get _timeLeftMs (): number {
@@ -402,8 +406,13 @@
     this._endCall('callerGone', 0)
   }
 
+  /** Tokens that this attempt gave to the caller; earlier attempts have reported theirs. */
   private get _usedTokens (): number {
-    return this._relay.eventCount * (this._service?.engine?.tokensPerEvent ?? 1)
+    return this._tokensOf(this._relay.eventCount)
+  }
+
+  private _tokensOf (eventCount: number): number {
+    return eventCount * (this._service?.engine?.tokensPerEvent ?? 1)
   }
 
   /** Events that the request may generate; one more than its tokens fill, as the last one may be a part. */
@@ -415,7 +424,8 @@
 
   private _createTurnEnd (usedTokens: number): TurnEnd {
     const { program, requestId } = this._request
-    const prompt = this._request.prompt.map((part, index, { length }) => index === length - 1 ? { ...part, tokens: part.tokens + usedTokens } : part)
+    const outputTokens = usedTokens + this._tokensOf(this._stream.earlierEvents?.eventCount ?? 0)
+    const prompt = this._request.prompt.map((part, index, { length }) => index === length - 1 ? { ...part, tokens: part.tokens + outputTokens } : part)
     return { programId: program?.programId ?? '', requestId, usedTokens, worker: this._sentCount > 0 ? this._latestAttempt?.worker.workerId : undefined, prompt }
   }
 
@@ -449,6 +459,7 @@
     this._endSuspectTurn(this._isSentInTurn ? SuspectTurnEnd.Unanswered : SuspectTurnEnd.NotHarmed)
     this._selector.cancel()
     this._relay.stop()
+    this._stream.end()
     clearTimeout(this._expiryTimer)
     const { firstByteAtMs, eventCount } = this._relay
     const tookMs = steadyNowMs() - this._request.arrivedAtMs
@@ -464,7 +475,8 @@
       worker: this._latestAttempt?.worker.workerId,
       sent: this._sentCount,
       unsent: this._unsentCount,
-      events: eventCount
+      events: eventCount,
+      earlierEvents: this._stream.earlierEvents?.eventCount
     })
   }
 
--- a/packages/node/src/node/routed/routedCallDependencies.ts
+++ b/packages/node/src/node/routed/routedCallDependencies.ts
@@ -12,6 +12,7 @@
 import type { SlotClient } from './slotClient.js'
 import type { SuspectGate } from './suspectGate.js'
 import type { StreamOrigins } from './streamOrigins.js'
+import type { StreamOutputs } from './streamOutputs.js'
 import type { TurnService } from './turnService.js'
 
 export interface RoutedCallDependencies {
@@ -28,6 +29,8 @@
   /** Slots of model engines. */
   slots: SlotClient
   streamOrigins: StreamOrigins
+  /** What was forwarded of streams of retained turns that callers may take up again. */
+  streamOutputs: StreamOutputs
   durations: RouteDurations
   workers: IWorkerCaller
   turns: TurnService
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -37,6 +37,7 @@
 import { StatusBroadcast } from './statusBroadcast.js'
 import { SuspectGate } from './suspectGate.js'
 import { StreamOrigins } from './streamOrigins.js'
+import { StreamOutputs } from './streamOutputs.js'
 import { TurnService } from './turnService.js'
 
 const STOP_POLL_MS = 20
@@ -101,6 +102,7 @@
   private readonly _coordinator: PlacementCoordinator
   private readonly _slots: SlotClient
   private readonly _streamOrigins: StreamOrigins
+  private readonly _streamOutputs: StreamOutputs
   private readonly _clusterView: ClusterView
   private readonly _poisonRequestDetector: PoisonRequestDetector
   private readonly _openRequests: OpenRequestReporter
@@ -152,12 +154,14 @@
         this._noticeExchange.tell(peer)
         this._tellCrashes(peer)
         this._openRequests.handleConnected(peer)
+        this._streamOutputs.handleConnected(peer)
       },
       onDisconnected: (peer, detail) => {
         write('peerLost', { peer, detail })
         this._statistics.removePeerLoad(peer)
         this._coordinator.releaseAllOf(peer)
         this._directory.markDisconnected(peer)
+        this._streamOutputs.handleDisconnected()
       }
     })
     this._discovery = new PeerDiscovery({ self: this._self, directory: this._directory, mesh: this._mesh, isNodeListRead: () => this._clusterView.isNodeListRead, random: container.resolve<IRandom>(IRandom), write })
@@ -241,6 +245,7 @@
       confirmList: async () => await this._clusterView.confirmWorkers(),
       write
     })
+    this._streamOutputs = new StreamOutputs({ zone, directory: this._directory, mesh: this._mesh, write })
     const ownRates = new OwnRates({ notices: this._notices, nodeCount: () => this._directory.size + 1, random: container.resolve<IRandom>(IRandom) })
     this._registry.onDidLoseWorker(worker => {
       const { workerId, address } = worker
@@ -253,7 +258,7 @@
       this._links.removeWorker(worker)
       write('workerLost', { worker: workerId, address, isDraining: this._registry.find(workerId)?.isDraining })
     })
-    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, notices: this._notices, poisonRequestDetector: this._poisonRequestDetector, openRequests: this._openRequests, reportedRequests: this._reportedRequests, suspectGate: this._suspectGate })
+    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, streamOutputs: this._streamOutputs, notices: this._notices, poisonRequestDetector: this._poisonRequestDetector, openRequests: this._openRequests, reportedRequests: this._reportedRequests, suspectGate: this._suspectGate })
     this._callDependencies = {
       zone,
       notices: this._notices,
@@ -265,6 +270,7 @@
       choice: container.resolve<IWorkerChoice>(IWorkerChoice),
       slots: this._slots,
       streamOrigins: this._streamOrigins,
+      streamOutputs: this._streamOutputs,
       durations: new RouteDurations(),
       workers: gateway,
       turns: this._turns,
@@ -344,6 +350,7 @@
     this._plannedStop.begin(endMs)
     this._write('info', 'stopBegun', { openRequests: this._openRequestCount, partitions: this._partitionHost.served.length })
     this._statusBroadcast.send()
+    this._streamOutputs.handOver()
     const handover = this._partitionHost.stop(FLUSH_TIMEOUT_MS)
     while (steadyNowMs() < endMs) {
       if (steadyNowMs() - startedMs > MIN_DRAIN_MS && this._openRequestCount === 0) break
@@ -369,6 +376,7 @@
     this._poisonRequestDetector.dispose()
     this._openRequests.dispose()
     this._streamOrigins.dispose()
+    this._streamOutputs.dispose()
     await Promise.all([this._mesh.close(), this._links.close(), this._options.log.close()])
   }
 
@@ -426,6 +434,7 @@
       reachesWorkers: !this._links.isCutOff,
       readsCrashRecords: true,
       takesRequestReports: true,
+      holdsStreamOutputs: true,
       logSilenceMs: Math.round(this._clusterView.sinceLogResponseMs),
       load: this._statistics.ownLoad(),
       crashes: crashes.length === 0 ? undefined : crashes,
@@ -444,7 +453,7 @@
   }
 
   private _handlePeerRequest (request: PeerRequest, respond: PeerResponder, requester: PeerRequester): void {
-    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond) || this._relayServer.handle(request, respond, requester) || this._discovery.handle(request, respond) || this._suspectGate.handle(request, respond, requester)) return
+    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond) || this._streamOutputs.handle(request, respond) || this._relayServer.handle(request, respond, requester) || this._discovery.handle(request, respond) || this._suspectGate.handle(request, respond, requester)) return
     switch (request.type) {
       case 'place': return this._coordinator.place(request.shard, request.from, request.request, respond)
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
--- a/packages/node/src/routed.ts
+++ b/packages/node/src/routed.ts
@@ -1,6 +1,7 @@
 /** Exports for platform adapters, which serve routed requests through a caller interface of their own. */
 export * from './common/logLine.js'
 export * from './common/metrics.js'
+export * from './common/routed/earlierEvents.js'
 export * from './common/routed/eventFrames.js'
 export * from './common/routed/logClient.js'
 export * from './common/routed/routedPeerMessages.js'
--- a/packages/node/test/node/routed/statusCodec.test.ts
+++ b/packages/node/test/node/routed/statusCodec.test.ts
@@ -28,6 +28,8 @@
     // No worker has the id '__proto__': `DocumentCodec` takes no such entry.
     load: fc.dictionary(fc.string({ minLength: 1 }).filter(workerId => workerId !== '__proto__'), fc.nat(64), { noNullPrototype: true }),
     readsCrashRecords: optional(fc.constant(true)),
+    takesRequestReports: optional(fc.constant(true)),
+    holdsStreamOutputs: optional(fc.constant(true)),
     rateLimitedShards: optional(fc.array(fc.string()))
   })
   const packr = new Packr({ useRecords: false })
