--- a/scripts/routedSoak.ts
+++ b/scripts/routedSoak.ts
@@ -33,8 +33,8 @@
 
 let failedSeeds = 0
 for (let seed = options.seed; seed < options.seed + options.seeds; seed++) {
-  const { requests, complete, continuations, crashes, runsInCalm, injected, violations, folder } = await runSoak({ seed, durationMs: options.seconds * MS_PER_S, nodes: options.nodes, callers: options.callers, productionFolder: options.production })
-  process.stdout.write(`seed ${seed}: ${injected.length} faults, ${requests} requests, ${complete} complete, ${continuations} streams taken up, ${crashes} crashes, ${runsInCalm} runs in calm, ${violations.length} violations\n`)
+  const { requests, complete, continuations, takenUpTurns, crashes, runsInCalm, injected, violations, folder } = await runSoak({ seed, durationMs: options.seconds * MS_PER_S, nodes: options.nodes, callers: options.callers, productionFolder: options.production })
+  process.stdout.write(`seed ${seed}: ${injected.length} faults, ${requests} requests, ${complete} complete, ${continuations} streams and ${takenUpTurns} turns taken up, ${crashes} crashes, ${runsInCalm} runs in calm, ${violations.length} violations\n`)
   if (violations.length === 0) continue
   failedSeeds++
   const command = `npm run soak:routed -- --seed ${seed} --seconds ${options.seconds} --nodes ${options.nodes} --callers ${options.callers}${options.production === undefined ? '' : ` --production ${options.production}`}`
