Turns that are taken up: ids are bounded, and an empty event id is none

Nodes remember the ids that a caller names, which may be as long as a header: they cost memory that the bound of kept events does not count. Attempts with ids of more than 256 characters can't be taken up, and requests that name such ids are refused before they run. An empty `Last-Event-Id` names no event: the stream is begun anew, as the worker does, where it was refused since.

--- a/packages/node/src/node/routed/streamContinuation.ts
+++ b/packages/node/src/node/routed/streamContinuation.ts
@@ -6,6 +6,9 @@
 import type { RoutedCallDependencies } from './routedCallDependencies.js'
 import type { IForwardedOutput, StreamTakeUp } from './streamOutputs.js'
 
+/** Nodes remember ids of attempts, and callers choose them. */
+const MAX_ID_CHARACTERS = 256
+
 export interface StreamContinuationOptions {
   dependencies: Pick<RoutedCallDependencies, 'routes' | 'streamOrigins' | 'streamOutputs' | 'metrics'>
   request: RoutedRequest
@@ -88,7 +91,7 @@
   }
 
   private get _needsEarlierEvents (): boolean {
-    return this._isRetained && this._lastEventId !== undefined
+    return this._isRetained && this._lastEventId !== undefined && this._lastEventId !== ''
   }
 
   private async _resolveOrigin (): Promise<string | undefined> {
@@ -105,6 +108,7 @@
     if (!this._isResumable) return 'streams of the route are not taken up'
     if (lastEventId === undefined || resumedRequestId === undefined) return 'the attempt that began the stream is not named'
     if (requestId === '' || requestId === resumedRequestId) return 'the attempt has no id of its own'
+    if ([requestId, resumedRequestId, lastEventId].some(isTooLong)) return 'an id is too long'
     this._announced = { streamId: resumedRequestId, attemptId: requestId, lastEventId }
     const outcome = await streamOutputs.resolve(this._announced, untilMs)
     metrics.count('stream_outputs_total', { outcome: outcome.type })
@@ -118,8 +122,12 @@
     const { dependencies: { streamOrigins, streamOutputs }, request: { requestId } } = this._options
     if (!this._isResumable) return
     streamOrigins.recordBeginning(requestId, this._origin)
-    if (!this._isRetained || requestId === '') return
+    if (!this._isRetained || requestId === '' || isTooLong(requestId)) return
     this._output = streamOutputs.begin(this._announced ?? { streamId: requestId, attemptId: requestId }, this._earlierEvents)
     this._announced = undefined
   }
 }
+
+function isTooLong (id: string): boolean {
+  return id.length > MAX_ID_CHARACTERS
+}
