--- a/packages/node/test/node/routed/streamOutputs.test.ts
+++ b/packages/node/test/node/routed/streamOutputs.test.ts
@@ -172,6 +172,21 @@
   })
 })
 
+test('the place of a lost holder is taken at once, also if the stream has ended', async () => {
+  await run(3, async (time, nodes) => {
+    const node = nodes.get('a0')
+    const output = begin(node)
+    forward(output, 1, 6)
+    output.end()
+    await time.advance(HOP_MS)
+    nodes.lose(...node.holders)
+    await time.advance(HOP_MS)
+    nodes.lose('a0')
+    const [other] = [...nodes.nodes.values()].filter(({ isLost }) => !isLost)
+    assert.is(await nodes.resolve(other.name, 4), FOUR)
+  })
+})
+
 test('a node that stops hands over what it holds for a lost one', async () => {
   await run(3, async (time, nodes) => {
     const node = nodes.get('a0')
@@ -259,6 +274,16 @@
   })
 })
 
+// Guards against events of an attempt that ran on unnoticed: the caller may have further events from a node that does not reply.
+test('a node to which fewer than half of the peers reply is not certain, although it has the events itself', async () => {
+  await run(4, async (_time, nodes) => {
+    const node = nodes.get('a0')
+    forward(begin(node), 1, 6)
+    for (const other of nodes.nodes.values()) other.isLost = other !== node && other.name !== 'a1'
+    assert.is(await nodes.resolve('a0', 4), 'too few peers have replied')
+  })
+})
+
 test('a peer that reads slowly gets the events later, all of them', async () => {
   await run(1, async (time, nodes) => {
     const node = nodes.get('a0')
