Attempts: a request that found no connection is tried at up to eight workers

Failures are forgotten after 4 s, three of the six workers refuse connections, and a request gave up after three unsent attempts: 1 in 20 by calculation. Such an attempt takes no worker's time, so the deadline and the list of workers bound it now, and eight attempts at most.

--- a/packages/core/src/common/forwarding/attemptOutcome.ts
+++ b/packages/core/src/common/forwarding/attemptOutcome.ts
@@ -13,8 +13,11 @@
 } as const
 export type AttemptOutcome = typeof AttemptOutcome[keyof typeof AttemptOutcome]
 
-/** Attempts that may fail before their first byte is sent; after this many the request is not tried again. */
-const MAX_UNSENT_ATTEMPTS = 3
+/**
+ * Attempts that may fail before their first byte is sent; after this many the request is not tried again. With 3, one request in twenty was refused
+ * while half of six workers refused connections and the others were free.
+ */
+const MAX_UNSENT_ATTEMPTS = 8
 /** With less time left than this, an attempt cannot end before the deadline. */
 const MIN_ATTEMPT_MS = 20
 
