Command line: checks a route document before it is sent

Mistakes in a document showed only after nodes had applied it. 'check' reports mistakes with their place, entries without effect, contradicting limits and, beside the active document, what changes. Nodes log the same findings for each new document.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,3 @@
 /** The `trefoilshunt` command line. */
-export { main } from './node/main.js'
+export type { IDocumentReader } from './common/documentReader.js'
+export { type MainOptions, main } from './node/main.js'
--- a/packages/cli/src/node/main.ts
+++ b/packages/cli/src/node/main.ts
@@ -2,7 +2,9 @@
 import { fileURLToPath } from 'node:url'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import type { IDocumentReader } from '../common/documentReader.js'
 import { ExitCode } from '../common/exitCodes.js'
+import { runCheck } from './checkCommand.js'
 import { runApply, runAudit, runDiff, runPrograms, runPromote, runStatus, runValidate } from './configCommands.js'
 import { runDemo } from './demoCommand.js'
 import { runExperiments, runScenarios, runSearch } from './experimentCommands.js'
@@ -24,14 +26,29 @@
 const baseOption = { type: 'number', describe: 'revision that the change is based on; the current one if absent' } as const
 const seedOption = { type: 'number', default: 1, describe: 'seed of the random numbers' } as const
 
+export interface MainOptions {
+  /** Reads the route documents of a platform; without it there is no command `check`. */
+  documentReader?: IDocumentReader
+}
+
 /**
  * Parses the command line and runs its command, which sets the exit code.
  *
  * @param argv all of `process.argv`, with the interpreter and the script. A wrong command line and a command that throws end the process with
  * `ExitCode.Usage`.
  */
-export async function main (argv: string[]): Promise<void> {
-  await yargs(hideBin(argv))
+export async function main (argv: string[], { documentReader }: MainOptions = {}): Promise<void> {
+  const parser = yargs(hideBin(argv))
+  if (documentReader !== undefined) {
+    parser.command('check <file>', 'check a route document before it is sent, and show what it changes', command => command
+      .positional('file', { type: 'string', demandOption: true })
+      .option('against', { type: 'string', describe: 'file with the active document' })
+      .option('strict', { type: 'boolean', default: false, describe: 'treat warnings as errors' })
+      .option('memory-mb', { type: 'number', describe: 'memory of the smallest node' })
+      .option('nodes', { type: 'number', describe: 'nodes that share the connections to a worker' })
+      .option('json', jsonOption), args => runCheck(args, documentReader))
+  }
+  await parser
     .scriptName('trefoilshunt')
     .option('json', jsonOption)
     .command('demo', 'run sample programs through nodes and stand-ins on loopback', command => command
--- a/packages/core/src/common/configuration/index.ts
+++ b/packages/core/src/common/configuration/index.ts
@@ -1,3 +1,4 @@
+export * from './checks/index.js'
 export * from './configuration.js'
 export * from './controlFold.js'
 export * from './controlRecords.js'
--- a/packages/node/src/node/routed/clusterView.ts
+++ b/packages/node/src/node/routed/clusterView.ts
@@ -1,5 +1,6 @@
 /** A node's view of the cluster, namely document, workers and other nodes, from the log or, while it can't read the log, from peers or snapshots. */
-import { type ClockReading, DocumentFreshness, earlierBy, type IRandom, type IRouteTable, type IWorkerRegistry, type KeyedRecord, type LogFields, type LogLevel, type RouteDocument, TokenBucket, type WorkerRegistration } from '@trefoilshunt/core'
+import { createHash } from 'node:crypto'
+import { checkDocument, type ClockReading, DocumentFreshness, earlierBy, type IRandom, type IRouteTable, type IWorkerRegistry, type KeyedRecord, type LogFields, type LogLevel, type RouteDocument, TokenBucket, type WorkerRegistration } from '@trefoilshunt/core'
 import { Packr } from 'msgpackr'
 import type { ILogClient } from '../../common/routed/logClient.js'
 import type { DocumentAge, NodeAddress, PeerReply } from '../../common/routed/routedPeerMessages.js'
@@ -27,6 +28,11 @@
 /** The document counts as fresh if the log has responded to this node's reads of it, or to a peer with no newer document, within this time. */
 const DOCUMENT_FRESH_MS = 4_000
 
+/** Findings in a new document that are logged one by one. */
+const MAX_LOGGED_FINDINGS = 10
+/** Digits of the digest by which a log line names an access key. */
+const DIGEST_DIGITS = 8
+
 /** Decodes the records of a platform; a platform adapter implements it. Undefined for records that can't be decoded. */
 export interface IRoutedCodec {
   decodeDocument (bytes: Uint8Array): RouteDocument | undefined
@@ -240,10 +246,18 @@
         this._write('warn', 'documentUnreadable', { bytes: value.length })
       } else if (this._options.routes.apply(document)) {
         this._write('info', 'documentInForce', { version: document.version, routes: document.routes.length, services: document.services.length, accounts: document.accounts?.length })
+        this._logFindings(document)
       }
     }
   }
 
+  /** Mistakes of the operator that the document's schema allows; the same that the command line finds before a document is sent. */
+  private _logFindings (document: RouteDocument): void {
+    const findings = checkDocument(document, { digestKey: accessKey => createHash('sha256').update(accessKey).digest('hex').slice(0, DIGEST_DIGITS) })
+    for (const { severity, rule, path, message } of findings.slice(0, MAX_LOGGED_FINDINGS)) this._write('warn', 'documentFinding', { version: document.version, severity, rule, path: path.join('.'), detail: message })
+    if (findings.length > MAX_LOGGED_FINDINGS) this._write('warn', 'documentFindings', { version: document.version, findings: findings.length, logged: MAX_LOGGED_FINDINGS })
+  }
+
   private _applyRegistrations (records: KeyedRecord[], isComplete: boolean): void {
     const nowMs = steadyNowMs()
     this._workersKnownAtMs ??= nowMs
--- a/packages/protocol/src/common/jsonc.ts
+++ b/packages/protocol/src/common/jsonc.ts
@@ -35,6 +35,16 @@
   }))
 }
 
+/**
+ * Position of the entry with a path; of the deepest entry of the path that the text has, if it lacks the rest.
+ *
+ * @example
+ * locateJsonc('{ "routes": [{ "name": "a" }] }', ['routes', 0, 'name']) // { line: 1, column: 24 }
+ */
+export function locateJsonc (text: string, path: Array<string | number>): { line: number, column: number } {
+  return positionOf(text, offsetOf(parseTree(text, [], { allowTrailingComma: true }), path))
+}
+
 /** Formats a problem as one readable line, `file:line:column: message`. */
 export function formatDiagnostic ({ file, line, column, message }: Diagnostic): string {
   return `${file}:${line}:${column}: ${message}`
