--- a/packages/node/src/node/routed/clusterView.ts
+++ b/packages/node/src/node/routed/clusterView.ts
@@ -83,6 +83,8 @@
   private readonly _freshness = new DocumentFreshness()
   /** Set while the newest document in the log can't be decoded. */
   private _isDocumentUnreadable = false
+  /** Findings in the active document; those that the one before had too are not logged again. */
+  private _findings = new Set<string>()
   private _documentConfirmation: Promise<boolean> | undefined
   private _workersKnownAtMs: number | undefined
   private _isStopped = false
@@ -254,8 +256,10 @@
   /** Mistakes of the operator that the document's schema allows; the same that the command line finds before a document is sent. */
   private _logFindings (document: RouteDocument): void {
     const findings = checkDocument(document, { digestKey: accessKey => createHash('sha256').update(accessKey).digest('hex').slice(0, DIGEST_DIGITS) })
-    for (const { severity, rule, path, message } of findings.slice(0, MAX_LOGGED_FINDINGS)) this._write('warn', 'documentFinding', { version: document.version, severity, rule, path: path.join('.'), detail: message })
-    if (findings.length > MAX_LOGGED_FINDINGS) this._write('warn', 'documentFindings', { version: document.version, findings: findings.length, logged: MAX_LOGGED_FINDINGS })
+    const newFindings = findings.filter(({ message }) => !this._findings.has(message))
+    this._findings = new Set(findings.map(({ message }) => message))
+    for (const { severity, rule, path, message } of newFindings.slice(0, MAX_LOGGED_FINDINGS)) this._write('warn', 'documentFinding', { version: document.version, severity, rule, path: path.join('.'), detail: message })
+    if (newFindings.length > MAX_LOGGED_FINDINGS) this._write('warn', 'documentFindings', { version: document.version, findings: newFindings.length, logged: MAX_LOGGED_FINDINGS })
   }
 
   private _applyRegistrations (records: KeyedRecord[], isComplete: boolean): void {
