--- a/packages/core/src/common/base/tokenBucket.ts
+++ b/packages/core/src/common/base/tokenBucket.ts
@@ -39,6 +39,18 @@
     return true
   }
 
+  /** Tokens in the bucket; below zero after a `charge` of more than it held. */
+  tokensAt (nowMs: number): number {
+    this._refill(nowMs)
+    return this._tokens
+  }
+
+  /** Removes `count` tokens, also when the bucket holds fewer. */
+  charge (nowMs: number, count: number): void {
+    this._refill(nowMs)
+    this._tokens -= count
+  }
+
   /** Adds tokens in addition to the refill, up to the burst. */
   deposit (count: number): void {
     this._tokens = Math.min(this._burst, this._tokens + count)
