Quotas of client accounts over all nodes: questions to the owner, handover, refusals

A routed request of an account with a quota takes a credit before the grant of its turn and before a worker is selected: from the lease of the node, from this node as the owner, or by a question to the peer that owns the account's partition. Questions of the same moment to one owner share a message. A request that no worker gets returns its credit. Requests without a quota take no other path than before.

The owner follows PartitionHost, which now counts lapses of its membership across which another node may have owned a partition. NodeDirectory remembers which peer listed a partition last, and whether its process has ended: PeerMesh tells whether the peer closed the connection.

--- a/packages/core/src/common/accounts/quotaBucket.ts
+++ b/packages/core/src/common/accounts/quotaBucket.ts
@@ -157,7 +157,7 @@
     const use = this._programs.get(program) ?? { requests: 0, lastAtMs: nowMs, isCounted: false }
     this._programs.delete(program)
     this._programs.set(program, use)
-    use.requests += requests
+    use.requests = Math.max(0, use.requests + requests)
     use.lastAtMs = nowMs
     if (this._programs.size > MAX_PROGRAMS) this._programs.delete(this._programs.keys().next().value as number)
   }
--- a/packages/core/src/common/accounts/quotaLease.ts
+++ b/packages/core/src/common/accounts/quotaLease.ts
@@ -21,6 +21,8 @@
 /** The right to send one request. */
 export interface QuotaCredit {
   account: string
+  /** The program that it is counted for; 0 for a request without one. */
+  program: number
   /** The node that granted it. */
   owner: string
   stampMs: number
@@ -38,7 +40,7 @@
   returns: number[]
 }
 
-interface HeldCredits extends QuotaCredit {
+interface HeldCredits extends Omit<QuotaCredit, 'program'> {
   count: number
 }
 
@@ -84,6 +86,11 @@
     return true
   }
 
+  /** True while credits for later requests of the account are asked for. */
+  isPrefetching (account: string): boolean {
+    return this._accounts.get(account)?.isPrefetching === true
+  }
+
   /** To be called once for each request, which uses a credit if there is one for it. `program` is 0 for a request without a program. */
   use (account: string, program: number, now: ClockReading): QuotaUse {
     const lease = this._leaseOf(account, now)
@@ -110,9 +117,8 @@
     const credits = lease.held[0]
     if (credits === undefined || lease.programs.get(program)?.isRestricted === true) return undefined
     if (--credits.count === 0) lease.held.shift()
-    if (lease.counts.size === 0) lease.countsSinceMs = now.steadyMs
-    lease.counts.set(program, (lease.counts.get(program) ?? 0) + 1)
-    return { account, owner: credits.owner, stampMs: credits.stampMs, askedAt: credits.askedAt }
+    countUse(lease, { program, requests: 1 }, now)
+    return { account, program, owner: credits.owner, stampMs: credits.stampMs, askedAt: credits.askedAt }
   }
 
   /** The question for requests that wait; `mayPrefetch` false if the owner is so near that nothing is asked for in advance. */
@@ -146,9 +152,11 @@
     }
   }
 
-  /** Takes a credit back whose request was not sent. */
-  giveBack (credit: QuotaCredit, now: ClockReading): void {
-    this._leaseOf(credit.account, now).held.push({ ...credit, count: 1 })
+  /** Takes a credit back whose request was not sent; it serves another request until it expires. */
+  giveBack ({ program, ...credit }: QuotaCredit, now: ClockReading): void {
+    const lease = this._leaseOf(credit.account, now)
+    lease.held.push({ ...credit, count: 1 })
+    countUse(lease, { program, requests: -1 }, now)
   }
 
   /** Moves expired credits out of use, and returns what owners should be told now, because no question has told them. */
@@ -183,6 +191,13 @@
   }
 }
 
+function countUse (lease: AccountLease, { program, requests }: { program: number, requests: number }, { steadyMs }: ClockReading): void {
+  if (lease.counts.size === 0) lease.countsSinceMs = steadyMs
+  const count = (lease.counts.get(program) ?? 0) + requests
+  if (count === 0) lease.counts.delete(program)
+  else lease.counts.set(program, count)
+}
+
 /** Removes from a lease what its owner is to be told. */
 function takeReport (lease: AccountLease, owner: string): { counts: number[], returns: number[] } {
   lease.owner = owner
--- a/packages/core/src/common/accounts/quotaMessages.ts
+++ b/packages/core/src/common/accounts/quotaMessages.ts
@@ -13,7 +13,7 @@
   begins: number[],
   /** Credits that the node expects to need next, in addition. */
   prefetch: number,
-  /** Requests that used credits of an earlier prefetch: pairs of program, 0 for none, and number of requests. */
+  /** Requests that used credits of an earlier prefetch: pairs of program, 0 for none, and number of requests; below zero for requests that were not sent after all. */
   counts: number[],
   /** Credits that were not used: pairs of number and stamp of their grant. */
   returns: number[]
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -1,5 +1,5 @@
 /** Messages between the nodes that serve routed requests. Sent as MessagePack, because they carry prompts and answers as bytes. */
-import { type CachedPart, type GrantRequest, hash32, type KeyedRecord, type PlacementEnd, type PlacementRequest, type ProbeResult, type WorkerNotice, type RetainedTurn, type SuspectTurnEnd, type SuspectTurnReply, type TurnEnd } from '@trefoilshunt/core'
+import { type CachedPart, type GrantRequest, hash32, type KeyedRecord, type PlacementEnd, type PlacementRequest, type ProbeResult, type QuotaGrant, type QuotaHandover, type QuotaTake, type WorkerNotice, type RetainedTurn, type SuspectTurnEnd, type SuspectTurnReply, type TurnEnd } from '@trefoilshunt/core'
 import type { StreamAttempt } from './earlierEvents.js'
 import type { CallFailure, WorkerAnswerHead, WorkerCall } from './workerClient.js'
 
@@ -158,7 +158,16 @@
   | { type: 'relayEnd' }
   | { type: 'relayFailed', failure: CallFailure }
 
+/** Credits of an account that were not used, pairs of number and stamp, and requests that used others, pairs of program and number. */
+export type QuotaReturn = [account: string, returns: number[], counts: number[]]
+
 export type PeerRequest =
+  /** Requests credits for requests of client accounts from the owner of their quotas. */
+  | { type: 'quotaTake', takes: QuotaTake[] }
+  /** Returns credits that were not used. Gets no reply. */
+  | { type: 'quotaReturn', returns: QuotaReturn[] }
+  /** Requests the quota buckets of a partition, which the sender owns under `epoch`, from its earlier owner, which stops granting. */
+  | { type: 'quotaHandover', partition: number, epoch: number }
   /** Requests a call to a worker that the sender doesn't reach. `relayId` is unique among all nodes. */
   | { type: 'relay', relayId: string, call: RelayedWorkerCall }
   /** Bytes of the answer that the sender has passed on; more than a limited number of them is not sent ahead. Gets no reply. */
@@ -204,6 +213,10 @@
 
 export type PeerReply =
   | RelayReply
+  /** A decision for each of the request's entries; null where the peer can't decide. */
+  | { type: 'quotaGrants', grants: Array<QuotaGrant | null> }
+  /** Null if the peer has no buckets of the partition. */
+  | { type: 'quotaHandedOver', handover: QuotaHandover | null }
   /** The live nodes that the peer knows, itself included. */
   | { type: 'nodeList', nodes: NodeAddress[] }
   | { type: 'workerProbed', result: ProbeResult }
--- a/packages/node/src/node/routed/accounts/accessControl.ts
+++ b/packages/node/src/node/routed/accounts/accessControl.ts
@@ -60,10 +60,14 @@
 
   /** Counts the end of a request in the metrics of its account. */
   countEnd (account: string | undefined, outcome: string, status: number): void {
-    if (account === undefined) return
+    if (account !== undefined) this._options.metrics.count('account_requests_total', { account: this.labelOf(account), outcome, status: String(status) })
+  }
+
+  /** The label of an account in metrics; the same for all accounts beyond a bounded number. */
+  labelOf (account: string): string {
     const isCounted = this._metricAccounts.has(account) || this._metricAccounts.size < MAX_METRIC_ACCOUNTS
     if (isCounted) this._metricAccounts.add(account)
-    this._options.metrics.count('account_requests_total', { account: isCounted ? account : OTHER_ACCOUNTS, outcome, status: String(status) })
+    return isCounted ? account : OTHER_ACCOUNTS
   }
 
   private async _authorizeByLog (request: RoutedRequest, route: Route): Promise<AccessOutcome> {
--- a/packages/node/src/node/routed/nodeDirectory.ts
+++ b/packages/node/src/node/routed/nodeDirectory.ts
@@ -17,6 +17,16 @@
   addedAtMs: number
   /** True after the connection to the peer was lost, until its next status. */
   isDisconnected: boolean
+  /** True if the peer closed that connection, which its machine does when its process ends. */
+  isClosedByPeer: boolean
+}
+
+/** The peer that served a partition last, as its statuses say. */
+export interface EarlierServer {
+  node: string
+  epoch: number
+  /** True if its process has ended: it closed the connection, or the node has started again. */
+  hasEnded: boolean
 }
 
 /** What this node knows of itself beside its address. */
@@ -46,6 +56,8 @@
 /** Addresses and latest statuses of the peers; this node itself is not among them. */
 export class NodeDirectory {
   private readonly _nodes = new Map<string, KnownNode>()
+  /** The last peer that listed each partition in its statuses. */
+  private readonly _lastServers = new Map<number, { node: string, incarnation: string, epoch: number }>()
   private _rotation = 0
 
   constructor (private readonly _options: NodeDirectoryOptions) {}
@@ -55,7 +67,7 @@
     if (address.node === this._options.self.node) return
     const known = this._nodes.get(address.node)
     if (known !== undefined && known.address.incarnation >= address.incarnation) return
-    this._nodes.set(address.node, { address, lastStatusAtMs: Number.NEGATIVE_INFINITY, addedAtMs: this._options.nowMs(), isDisconnected: false })
+    this._nodes.set(address.node, { address, lastStatusAtMs: Number.NEGATIVE_INFINITY, addedAtMs: this._options.nowMs(), isDisconnected: false, isClosedByPeer: false })
     this._options.onAdded(address)
   }
 
@@ -67,12 +79,19 @@
     known.status = status
     known.lastStatusAtMs = this._options.nowMs()
     known.isDisconnected = false
+    known.isClosedByPeer = false
+    for (const [partition, epoch] of status.owned) {
+      const last = this._lastServers.get(partition)
+      if (last === undefined || epoch > last.epoch) this._lastServers.set(partition, { node: status.from.node, incarnation: status.from.incarnation, epoch })
+    }
   }
 
   /** Treats a peer whose connection closed as not alive until its next status, so that the end of a process is detected at once. */
-  markDisconnected (node: string): void {
+  markDisconnected (node: string, isClosedByPeer = false): void {
     const known = this._nodes.get(node)
-    if (known !== undefined) known.isDisconnected = true
+    if (known === undefined) return
+    known.isDisconnected = true
+    known.isClosedByPeer = isClosedByPeer
   }
 
   /** Number of known peers, alive or not. */
@@ -114,6 +133,15 @@
     return owner
   }
 
+  /** The peer that served a partition last, alive or not; undefined if none is known. */
+  lastServerOf (partition: number): EarlierServer | undefined {
+    const last = this._lastServers.get(partition)
+    if (last === undefined) return undefined
+    const known = this._nodes.get(last.node)
+    const hasEnded = known !== undefined && (known.address.incarnation !== last.incarnation || known.isClosedByPeer)
+    return { node: last.node, epoch: last.epoch, hasEnded }
+  }
+
   /** Number of live peers that assign the slots of a service shard with rate limits and are not draining. */
   coordinatorCount (shardKey: string): number {
     return this.alive.filter(status => !status.isDraining && status.rateLimitedShards?.includes(shardKey) === true).length
--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -2,6 +2,8 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { IWorkerNotices } from '@trefoilshunt/core'
 import { steadyNowMs } from '../steadyClock.js'
+import type { QuotaClient } from './accounts/quotaClient.js'
+import type { QuotaService } from './accounts/quotaService.js'
 import type { ClusterView } from './clusterView.js'
 import type { NodeDirectory } from './nodeDirectory.js'
 import type { OpenRequestReporter } from './openRequestReporter.js'
@@ -35,6 +37,8 @@
   openRequests: OpenRequestReporter
   reportedRequests: ReportedRequests
   suspectGate: SuspectGate
+  quotaClient: QuotaClient
+  quotaService: QuotaService
 }
 
 /**
@@ -58,7 +62,7 @@
 
   /** Current values by name. */
   read (): Record<string, number> {
-    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, streamOutputs, notices, poisonRequestDetector, openRequests, reportedRequests, suspectGate } = this._options
+    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, streamOutputs, notices, poisonRequestDetector, openRequests, reportedRequests, suspectGate, quotaClient, quotaService } = this._options
     const memory = process.memoryUsage()
     const cpu = process.cpuUsage()
     return {
@@ -82,6 +86,9 @@
       open_requests_reported: openRequests.size,
       peer_requests_held: reportedRequests.size,
       suspect_turns: suspectGate.size,
+      quota_credits_held: quotaClient.creditCount,
+      quota_requests_waiting: quotaClient.waitingCount,
+      quota_buckets: quotaService.bucketCount,
       stream_origins_held: streamOrigins.size,
       stream_outputs_held: streamOutputs.size,
       stream_output_bytes_held: streamOutputs.byteCount,
--- a/packages/node/src/node/routed/partitionHost.ts
+++ b/packages/node/src/node/routed/partitionHost.ts
@@ -68,6 +68,7 @@
   private _withoutPeersSinceMs: number | undefined
   private _lastJoinSentMs = Number.NEGATIVE_INFINITY
   private _lastJoinSentWallMs = 0
+  private _lapseCount = 0
   private _isStopped = false
   private readonly _responseTime = new LogResponseTime()
   private readonly _memberTimeout: TimeoutLimits
@@ -115,6 +116,11 @@
     return steadyNowMs() - this._lastJoinSentMs < memberTtlMs && Math.abs(Date.now() - this._lastJoinSentWallMs) < memberTtlMs
   }
 
+  /** Number of times at which the membership may have expired and other members may have served this node's partitions. */
+  get lapseCount (): number {
+    return this._lapseCount
+  }
+
   /** Milliseconds since the sending of the last join that the log confirmed; infinite before the first. */
   get sinceLastJoinMs (): number {
     return steadyNowMs() - this._lastJoinSentMs
@@ -149,6 +155,8 @@
       if (result.type === 'joined') {
         this._failedMemberCalls = 0
         this._responseTime.recordAnswer(steadyNowMs() - sentMs)
+        const hasLapsed = sentMs - this._lastJoinSentMs >= memberTtlMs || Math.abs(sentWallMs - this._lastJoinSentWallMs) >= memberTtlMs
+        if (hasLapsed && result.generation !== this._generation) this._lapseCount++
         this._lastJoinSentMs = sentMs
         this._lastJoinSentWallMs = sentWallMs
         await this._applyMembership(result.generation, result.partitions)
--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -47,8 +47,8 @@
   onDocumentAge?: (age: DocumentAge, askedAt: ClockReading) => void
   /** Called when the connection that this node opened to a peer is established. */
   onConnected: (peer: string) => void
-  /** Called when an established connection is closed, for whichever reason. */
-  onDisconnected: (peer: string, detail: string) => void
+  /** Called when an established connection is closed, for whichever reason. `isClosedByPeer` if the peer closed it, which its machine does when its process ends. */
+  onDisconnected: (peer: string, detail: string, isClosedByPeer: boolean) => void
 }
 
 interface PendingRequest {
@@ -227,10 +227,15 @@
       else if (frame.t === 'p') this._handleAcknowledgement(connection, frame.d)
     })
     let detail = 'closed'
-    socket.on('error', error => { detail = error.message })
+    let isClosedByPeer = false
+    socket.on('end', () => { isClosedByPeer = true })
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      detail = error.message
+      if (error.code === 'ECONNRESET' || error.code === 'EPIPE') isClosedByPeer = true
+    })
     socket.on('close', () => {
       clearTimeout(timer)
-      if (connection.socket === socket) this._disconnect(connection, detail)
+      if (connection.socket === socket) this._disconnect(connection, detail, isClosedByPeer)
     })
   }
 
@@ -249,7 +254,7 @@
     if (sentAt !== undefined && documentAge !== undefined) this._options.onDocumentAge?.(documentAge, sentAt)
   }
 
-  private _disconnect (connection: PeerConnection, detail: string): void {
+  private _disconnect (connection: PeerConnection, detail: string, isClosedByPeer = false): void {
     const { socket, isConnected, pending } = connection
     connection.socket = undefined
     connection.isConnected = false
@@ -260,7 +265,7 @@
       clearTimeout(timer)
       onReply(undefined)
     }
-    if (isConnected) this._options.onDisconnected(connection.address.node, detail)
+    if (isConnected) this._options.onDisconnected(connection.address.node, detail, isClosedByPeer)
   }
 
   private _accept (socket: Socket): void {
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -1,10 +1,11 @@
 /** Handles one routed request: obtains the grant of its turn, sends it to workers, forwards the answer and reports the turn's end to the owner. */
 import {
-  AttemptOutcome, type GrantRequest, type LogFields, type NextAction, type PlacementEnd, resolveNextAction, type Route, type RoutedService, RouteKind, SuspectTurnEnd, type TurnEnd, type WorkerRegistration
+  AttemptOutcome, type GrantRequest, type LogFields, type NextAction, type PlacementEnd, type QuotaCredit, resolveNextAction, type Route, type RoutedService, RouteKind, SuspectTurnEnd, type TurnEnd, type WorkerRegistration
 } from '@trefoilshunt/core'
 import { internalIdOf, type IAnswerSink, type Refusal, RefusalReason, type RoutedRequest } from '../../common/routed/routedRequest.js'
 import type { WorkerAnswerHead } from '../../common/routed/workerClient.js'
 import { steadyNowMs } from '../steadyClock.js'
+import type { QuotaOutcome } from './accounts/quotaClient.js'
 import { AnswerRelay } from './answerRelay.js'
 import { createWorkerCall } from './createWorkerCall.js'
 import type { IStoppableCall } from './plannedStop.js'
@@ -54,6 +55,10 @@
   /** True if a worker may have got the request in the open turn. */
   private _isSentInTurn = false
   private _turnPauseMs = FIRST_TURN_PAUSE_MS
+  /** Taken from the quota of the request's account; returned if no worker gets the request. */
+  private _credit: QuotaCredit | undefined
+  /** True if a worker may have got the request. */
+  private _isSent = false
   private _sentCount = 0
   private _unsentCount = 0
   private _mayHaveRun = false
@@ -87,7 +92,26 @@
     this._sink.onCallerDisconnected = () => this._onCallerDisconnected()
     this._expiryTimer = setTimeout(() => this._expire(), Math.max(0, this._timeLeftMs))
     if (this._stream.isTakenUp) void this._resolveStream()
-    else this._begin()
+    else this._takeCredit()
+  }
+
+  /** Takes the credit of an account with a quota, once for each attempt of the caller. */
+  private _takeCredit (): void {
+    const outcome = this._dependencies.quotas.take(this._request, this._timeLeftMs)
+    if (outcome === undefined) this._begin()
+    else if (outcome instanceof Promise) void outcome.then(later => this._applyQuotaOutcome(later))
+    else this._applyQuotaOutcome(outcome)
+  }
+
+  private _applyQuotaOutcome (outcome: QuotaOutcome): void {
+    if (outcome.type === 'refused') {
+      this._refuse(outcome.refusal)
+    } else if (this._isDone) {
+      this._dependencies.quotas.giveBack(outcome.credit)
+    } else {
+      this._credit = outcome.credit
+      this._begin()
+    }
   }
 
   private _begin (): void {
@@ -103,7 +127,7 @@
       return
     }
     if (this._stream.earlierEvents !== undefined) this._relay.continueOutput(this._stream.earlierEvents.output)
-    this._begin()
+    this._takeCredit()
   }
 
   private get _timeLeftMs (): number {
@@ -264,6 +288,7 @@
     const request = this._request
     this._relay.beginAttempt(this._maxEvents)
     this._isSentInTurn = this._suspectTurn !== undefined
+    this._isSent = true
     this._latestAttempt = new WorkerAttempt({
       dependencies: this._dependencies,
       route: this._route,
@@ -364,6 +389,7 @@
     const worker = this._latestAttempt?.worker
     if (attemptOutcome === AttemptOutcome.NotSent) this._unsentCount++
     else this._sentCount++
+    this._isSent = this._sentCount > 0
     if (attemptOutcome === AttemptOutcome.Unknown) this._mayHaveRun = true
     this._endSuspectTurn(attemptOutcome === AttemptOutcome.Unknown ? SuspectTurnEnd.Unanswered : SuspectTurnEnd.NotHarmed)
     if (worker !== undefined) this._excluded.add(worker.workerId)
@@ -472,6 +498,7 @@
     this._unregister()
     this._endSuspectTurn(this._isSentInTurn ? SuspectTurnEnd.Unanswered : SuspectTurnEnd.NotHarmed)
     this._selector.cancel()
+    if (this._credit !== undefined && !this._isSent) this._dependencies.quotas.giveBack(this._credit)
     this._relay.stop()
     this._stream.end()
     clearTimeout(this._expiryTimer)
--- a/packages/node/src/node/routed/routedCallDependencies.ts
+++ b/packages/node/src/node/routed/routedCallDependencies.ts
@@ -2,6 +2,7 @@
 import type { IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, LogFields } from '@trefoilshunt/core'
 import type { Metrics } from '../../common/metrics.js'
 import type { AccessControl } from './accounts/accessControl.js'
+import type { QuotaClient } from './accounts/quotaClient.js'
 import type { HeldBytes } from './heldBytes.js'
 import type { OpenRequestReporter } from './openRequestReporter.js'
 import type { OwnRates } from './ownRates.js'
@@ -22,6 +23,8 @@
   routes: IRouteTable
   /** Access keys of client accounts. */
   access: AccessControl
+  /** Quotas of client accounts. */
+  quotas: QuotaClient
   registry: IWorkerRegistry
   statistics: IWorkerStatistics
   notices: IWorkerNotices
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -12,6 +12,8 @@
 import { LoopUtilization } from '../loopUtilization.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
 import { AccessControl } from './accounts/accessControl.js'
+import { QuotaClient } from './accounts/quotaClient.js'
+import { QuotaService } from './accounts/quotaService.js'
 import { PoisonRequestDetector } from './poisonRequestDetector.js'
 import { type IRoutedCodec, ClusterView, NODE_TOPIC } from './clusterView.js'
 import { HeldBytes } from './heldBytes.js'
@@ -111,6 +113,8 @@
   private readonly _openRequests: OpenRequestReporter
   private readonly _reportedRequests = new ReportedRequests()
   private readonly _suspectGate: SuspectGate
+  private readonly _quotaService: QuotaService
+  private readonly _quotaClient: QuotaClient
   private readonly _statusBroadcast: StatusBroadcast
   private readonly _callDependencies: RoutedCallDependencies
   private readonly _gauges: NodeGauges
@@ -161,11 +165,11 @@
         this._openRequests.handleConnected(peer)
         this._streamOutputs.handleConnected(peer)
       },
-      onDisconnected: (peer, detail) => {
+      onDisconnected: (peer, detail, isClosedByPeer) => {
         write('peerLost', { peer, detail })
         this._statistics.removePeerLoad(peer)
         this._coordinator.releaseAllOf(peer)
-        this._directory.markDisconnected(peer)
+        this._directory.markDisconnected(peer, isClosedByPeer)
         this._streamOutputs.handleDisconnected()
       }
     })
@@ -181,9 +185,13 @@
       sinceLogResponseMs: () => this._clusterView.sinceLogResponseMs,
       hasLivePeers: () => this._directory.alive.length > 0,
       random: container.resolve<IRandom>(IRandom),
-      onChanged: () => this._statusBroadcast.send(),
+      onChanged: () => {
+        this._quotaService.synchronize()
+        this._statusBroadcast.send()
+      },
       write
     })
+    this._quotaService = new QuotaService({ partitionCount: _options.partitionCount, memberTtlMs: _options.memberTtlMs, routes: this._routes, host: this._partitionHost, directory: this._directory, mesh: this._mesh, write })
     this._openRequests = new OpenRequestReporter({ node, incarnation: this._self.incarnation, directory: this._directory, mesh: this._mesh })
     this._suspectGate = new SuspectGate({ node, directory: this._directory, mesh: this._mesh, write })
     this._poisonRequestDetector = new PoisonRequestDetector({
@@ -263,7 +271,6 @@
       this._links.removeWorker(worker)
       write('workerLost', { worker: workerId, address, isDraining: this._registry.find(workerId)?.isDraining })
     })
-    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, streamOutputs: this._streamOutputs, notices: this._notices, poisonRequestDetector: this._poisonRequestDetector, openRequests: this._openRequests, reportedRequests: this._reportedRequests, suspectGate: this._suspectGate })
     const access = new AccessControl({
       routes: this._routes,
       metrics: this.metrics,
@@ -274,9 +281,12 @@
       nowMs: steadyNowMs,
       write
     })
+    this._quotaClient = new QuotaClient({ node, routes: this._routes, service: this._quotaService, directory: this._directory, mesh: this._mesh, metrics: this.metrics, labelOf: account => access.labelOf(account), write })
+    this._gauges = new NodeGauges({ links: this._links, relays, relayServer: this._relayServer, partitionHost: this._partitionHost, directory: this._directory, clusterView: this._clusterView, coordinator: this._coordinator, streamOrigins: this._streamOrigins, streamOutputs: this._streamOutputs, notices: this._notices, poisonRequestDetector: this._poisonRequestDetector, openRequests: this._openRequests, reportedRequests: this._reportedRequests, suspectGate: this._suspectGate, quotaClient: this._quotaClient, quotaService: this._quotaService })
     this._callDependencies = {
       zone,
       access,
+      quotas: this._quotaClient,
       notices: this._notices,
       noticeReporter: reporter,
       ownRates,
@@ -389,6 +399,7 @@
     this._clusterView.stop()
     this._partitionHost.close()
     this._coordinator.dispose()
+    this._quotaClient.dispose()
     this._poisonRequestDetector.dispose()
     this._openRequests.dispose()
     this._streamOrigins.dispose()
@@ -423,6 +434,7 @@
     // One node is enough to remove records for all.
     if (this._directory.alive.every(({ from }) => from.node > this._self.node)) this._poisonRequestDetector.records.removeExpired()
     this._directory.removeInactive()
+    this._quotaService.removeInactive()
     this._reportedRequests.removeInactive(sender => this._isAlive(sender))
     this._noticeExchange.removeInactive()
   }
@@ -469,7 +481,7 @@
   }
 
   private _handlePeerRequest (request: PeerRequest, respond: PeerResponder, requester: PeerRequester): void {
-    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond) || this._streamOutputs.handle(request, respond) || this._relayServer.handle(request, respond, requester) || this._discovery.handle(request, respond) || this._suspectGate.handle(request, respond, requester)) return
+    if (this._turns.handle(request, respond) || this._streamOrigins.handle(request, respond) || this._streamOutputs.handle(request, respond) || this._relayServer.handle(request, respond, requester) || this._discovery.handle(request, respond) || this._suspectGate.handle(request, respond, requester) || this._quotaService.handle(request, respond)) return
     switch (request.type) {
       case 'place': return this._coordinator.place(request.shard, request.from, request.request, respond)
       case 'release': return this._coordinator.release(request.shard, request.placementId, request.end)
