--- a/packages/node/src/node/routed/accounts/quotaClient.ts
+++ b/packages/node/src/node/routed/accounts/quotaClient.ts
@@ -104,6 +104,11 @@
     }
   }
 
+  /** Forgets accounts without requests for some time. */
+  removeInactive (): void {
+    this._returnExpired()
+  }
+
   dispose (): void {
     clearTimeout(this._retryTimer)
     clearTimeout(this._expiryTimer)
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -435,6 +435,7 @@
     if (this._directory.alive.every(({ from }) => from.node > this._self.node)) this._poisonRequestDetector.records.removeExpired()
     this._directory.removeInactive()
     this._quotaService.removeInactive()
+    this._quotaClient.removeInactive()
     this._reportedRequests.removeInactive(sender => this._isAlive(sender))
     this._noticeExchange.removeInactive()
   }
