Member group: nodes whose partitions stay join at the usual period after a change

Cause: after each change of the membership every node joined every 50 ms for 0.7 s. A start changes it twice, so it cost each other node up to 28 calls. Change: in that time a node joins early only if it has just given up partitions, or if no live node serves one, by its own view and the peers' statuses. A peer that is frozen serves in that view until its heartbeat timeout; its partitions then move with the usual joins, up to 0.2 s later than before.

--- a/packages/node/src/node/routed/partitionHost.ts
+++ b/packages/node/src/node/routed/partitionHost.ts
@@ -8,9 +8,9 @@
 const MEMBER_GROUP = 'turn-owners'
 /** Joins sent within one time to live of the membership, so that three of them may fail. */
 const JOINS_PER_TTL = 4
-/** Period of the joins while the membership changes: a partition moves only when its owner joins again. */
+/** Period of the joins while partitions move after a change of the membership: a partition moves only when its owner joins again. */
 const SETTLING_JOIN_MS = 50
-/** How long the short join period is used after a change of the membership. */
+/** How long the short join period is used after a change of the membership. Joins of all nodes for all of that time were most of what a start cost the others. */
 const SETTLING_MS = 700
 /** Partitions that recover at the same time. The others wait, and may be reassigned before they are read. */
 const MAX_PARALLEL_RECOVERIES = 3
@@ -40,6 +40,8 @@
   sinceLogResponseMs: () => number
   /** True while at least one peer is alive from the point of view of this node. */
   hasLivePeers: () => boolean
+  /** True if neither this node nor a live peer serves some partition, so that the group may assign it to this node. Without it, the short join period is used after each change of the membership. */
+  hasUnservedPartition?: () => boolean
   random: IRandom
   /** Called when the set of served partitions may have changed. */
   onChanged: () => void
@@ -64,6 +66,8 @@
   private readonly _fencedGenerations = new Map<number, number>()
   private _generation = 0
   private _membershipChangedAtMs = Number.NEGATIVE_INFINITY
+  /** True if partitions were given up after the latest join: the group moves them when this node has joined again. */
+  private _hasReleased = false
   private _runningRecoveries = 0
   private _withoutPeersSinceMs: number | undefined
   private _lastJoinSentMs = Number.NEGATIVE_INFINITY
@@ -96,6 +100,11 @@
     return [...this._owners.values()].filter(owner => owner.isServing)
   }
 
+  /** The partitions that this node serves or is about to serve. */
+  get assigned (): Iterable<number> {
+    return this._owners.keys()
+  }
+
   /** True when the group has had other members for `ISOLATED_AFTER_MS` and none of them was alive for this node in that time. */
   get isIsolated (): boolean {
     return this._withoutPeersSinceMs !== undefined && steadyNowMs() - this._withoutPeersSinceMs > ISOLATED_AFTER_MS
@@ -158,11 +167,22 @@
         this._options.write('groupJoinFailed', { detail: result.detail, sinceLastMs: Math.round(sentMs - this._lastJoinSentMs) })
       }
       const isSettling = result.type === 'joined' && steadyNowMs() - this._membershipChangedAtMs < SETTLING_MS
-      const periodMs = isSettling ? SETTLING_JOIN_MS : memberTtlMs / JOINS_PER_TTL
-      await delay(Math.max(SETTLING_JOIN_MS / 2, periodMs - (steadyNowMs() - sentMs)))
+      const periodMs = memberTtlMs / JOINS_PER_TTL
+      if (isSettling) await this._waitWhileSettling(sentMs, periodMs)
+      else await delay(Math.max(SETTLING_JOIN_MS / 2, periodMs - (steadyNowMs() - sentMs)))
     }
   }
 
+  /** Resolves when this node should join again: soon if it has given up partitions or may get some, else after the usual period. */
+  private async _waitWhileSettling (sentMs: number, periodMs: number): Promise<void> {
+    const { hasUnservedPartition = () => true } = this._options
+    let waitMs = SETTLING_JOIN_MS - (steadyNowMs() - sentMs)
+    do {
+      await delay(Math.max(SETTLING_JOIN_MS / 2, waitMs))
+      waitMs = Math.min(SETTLING_JOIN_MS, periodMs - (steadyNowMs() - sentMs))
+    } while (waitMs > 0 && !this._isStopped && !this._hasReleased && !hasUnservedPartition())
+  }
+
   private get _memberTimeoutMs (): number {
     return this._responseTime.timeoutMs(this._memberTimeout, this._failedMemberCalls)
   }
@@ -200,6 +220,7 @@
     if (hasChanged) this._options.write('partitionsAssigned', { generation, partitions: [...assigned].join(',') })
     // The log assigns a revoked partition to its next owner only after this node has joined with the new generation.
     const revoked = [...this._owners.values()].filter(owner => !assigned.has(owner.partition))
+    this._hasReleased = revoked.length > 0
     await Promise.all(revoked.map(async owner => await owner.close(HANDOVER_TIMEOUT_MS)))
     for (const owner of revoked) this._removeOwner(owner, 'reassigned')
     for (const partition of assigned) {
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -180,6 +180,7 @@
       memberTtlMs: _options.memberTtlMs,
       sinceLogResponseMs: () => this._clusterView.sinceLogResponseMs,
       hasLivePeers: () => this._directory.alive.length > 0,
+      hasUnservedPartition: () => this._hasUnservedPartition,
       random: container.resolve<IRandom>(IRandom),
       onChanged: () => this._statusBroadcast.send(),
       write
@@ -408,6 +409,14 @@
     })
   }
 
+  private get _hasUnservedPartition (): boolean {
+    const served = new Set(this._partitionHost.assigned)
+    for (const { owned } of this._directory.alive) {
+      for (const [partition] of owned) served.add(partition)
+    }
+    return served.size < this._options.partitionCount
+  }
+
   private get _cores (): number {
     return this._options.cores ?? 1
   }
--- a/packages/node/test/node/routed/fakeLog.ts
+++ b/packages/node/test/node/routed/fakeLog.ts
@@ -19,6 +19,8 @@
   lostLeaves = 0
   /** Number of next reads of pages that get no answer. */
   lostPages = 0
+  /** Number of joins, lost ones included. */
+  joinCount = 0
   /** Number of appends that reached the log, including those whose answer was lost. */
   appendCount = 0
   /** Largest record and largest call; larger ones are rejected. */
@@ -84,6 +86,7 @@
   }
 
   async join ({ group, member, ttlMs, generation, timeoutMs }: JoinRequest): Promise<JoinResult> {
+    this.joinCount++
     const isAnswered = await this._waitForAnswer(timeoutMs)
     if (this.isDown) return { type: 'failed', detail: 'down' }
     if (this.lostJoins > 0) {
--- a/packages/node/test/node/routed/partitionHost.test.ts
+++ b/packages/node/test/node/routed/partitionHost.test.ts
@@ -9,7 +9,7 @@
 const PARTITIONS = 4
 const TTL_MS = 400
 
-function createHost (log: FakeLog, member: string, hasLivePeers: () => boolean = () => true, memberTtlMs = TTL_MS): PartitionHost {
+function createHost (log: FakeLog, member: string, hasLivePeers: () => boolean = () => true, memberTtlMs = TTL_MS, hasUnservedPartition?: () => boolean): PartitionHost {
   return new PartitionHost({
     member,
     log,
@@ -19,6 +19,7 @@
     memberTtlMs,
     sinceLogResponseMs: () => 0,
     hasLivePeers,
+    hasUnservedPartition,
     random: new SeededRandom(member.length),
     onChanged: () => {},
     write: (event, fields) => { if (process.env.DBG !== undefined) console.log(Math.round(performance.now()), member, event, JSON.stringify(fields)) }
@@ -50,6 +51,30 @@
   hosts[2].close()
 })
 
+test('after a change of the membership, nodes whose partitions stay join at the usual period, so that a start costs the others little; partitions still move at once', async () => {
+  const shared = new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() })
+  const ttlMs = 4_000
+  const logs = Array.from({ length: 5 }, () => new FakeLog(shared))
+  const hosts: PartitionHost[] = []
+  const start = (member: string, index: number): void => {
+    hosts.push(createHost(logs[index], member, undefined, ttlMs, () => servedPartitions(hosts).length < PARTITIONS))
+    hosts[index].start()
+  }
+  ;['a', 'bb', 'ccc', 'dddd'].forEach(start)
+  await waitFor(() => hosts.every(({ served }) => served.length === 1))
+  await new Promise<void>(resolve => { setTimeout(resolve, 700) })
+  logs[0].joinCount = 0
+  start('eeeee', 4)
+  await new Promise<void>(resolve => { setTimeout(resolve, 1_800) })
+  assert.ok(logs[0].joinCount <= 3, `${logs[0].joinCount} joins of a node whose partitions stay`)
+  await hosts[0].stop(200)
+  const stoppedMs = performance.now()
+  await waitFor(() => servedPartitions(hosts).length === PARTITIONS)
+  const tookMs = performance.now() - stoppedMs
+  for (const host of hosts) host.close()
+  assert.ok(tookMs < ttlMs / 2, `the partition moved after ${Math.round(tookMs)} ms`)
+})
+
 test('a lost join or leave is repeated long before the membership expires', async () => {
   const log = new FakeLog(new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() }))
   const [first, second] = ['a', 'bb'].map(member => createHost(log, member, undefined, 4_000))
--- a/scripts/profileRouted.ts
+++ b/scripts/profileRouted.ts
@@ -89,9 +89,10 @@
 }
 
 async function measureStart ({ large, figures }: Build, index: number): Promise<void> {
-  const { ownMs, othersMs } = await large.measureStart(index, median(figures.get('idle, ms a node and second') ?? [0]))
+  const { ownMs, othersMs, logCalls } = await large.measureStart(index)
   add(figures, 'a start, ms', ownMs)
   add(figures, 'a start, ms of the other nodes together', othersMs)
+  add(figures, 'calls to the log of all nodes around a start', logCalls)
 }
 
 function add (figures: Figures, name: string, value: number): void {
