Event log: formats a line once

Cause: log lines took 7.8% of the processor time of nodes with traffic (profile of 5 nodes, 20 calls and 8 turns a second each), most of it masking, run-time details and styles of the logger, for lines that are complete. Change: these steps of the logger pass the line on; formatLogLine builds one string and tests only strings for characters that need quotes. Lines are equal.

--- a/packages/node/src/common/logLine.ts
+++ b/packages/node/src/common/logLine.ts
@@ -3,6 +3,7 @@
 
 /** Fields that hold secrets; their values are written as `***`. */
 const SECRET_FIELDS = new Set(['authorization', 'key', 'peerSecret'])
+const UNSAFE_CHARACTER = /[\s="]/
 
 /**
  * Formats one event as a line without a line break. Fields that are undefined are left out; empty values and values with
@@ -13,14 +14,15 @@
  * // time=1970-01-01T00:00:00.000Z level=info event=drainStarted programs=3
  */
 export function formatLogLine (level: string, event: string, fields: LogFields, time: string): string {
-  const pairs = [`time=${time}`, `level=${level}`, `event=${event}`]
-  for (const [name, value] of Object.entries(fields)) {
-    if (value !== undefined) pairs.push(`${name}=${SECRET_FIELDS.has(name) ? '***' : formatValue(value)}`)
+  let line = `time=${time} level=${level} event=${event}`
+  for (const name in fields) {
+    const value = fields[name]
+    if (value !== undefined) line += ` ${name}=${SECRET_FIELDS.has(name) ? '***' : formatValue(value)}`
   }
-  return pairs.join(' ')
+  return line
 }
 
 function formatValue (value: string | number | boolean): string {
-  const text = String(value)
-  return /^[^\s="]+$/.test(text) ? text : JSON.stringify(text)
+  if (typeof value !== 'string') return String(value)
+  return value === '' || UNSAFE_CHARACTER.test(value) ? JSON.stringify(value) : value
 }
--- a/packages/node/src/node/logger.ts
+++ b/packages/node/src/node/logger.ts
@@ -1,5 +1,5 @@
 /** The event log of a node, written through tslog. */
-import { Logger } from 'tslog'
+import { type ILogObjMeta, Logger } from 'tslog'
 import type { LogFields, LogLevel } from '@trefoilshunt/core'
 import { formatLogLine } from '../common/logLine.js'
 
@@ -13,7 +13,7 @@
 
 /** Writes each event as one line of key=value pairs, by default to standard error because standard output is for results. */
 export class EventLog implements IEventLog {
-  private readonly _logger: Logger<unknown>
+  private readonly _logger: Logger<unknown[]>
 
   constructor (minLevel: keyof typeof TSLOG_LEVELS, private readonly _writeLine: (line: string) => void = line => process.stderr.write(line)) {
     this._logger = new Logger({
@@ -22,7 +22,15 @@
       stylePrettyLogs: false,
       hideLogPositionForProduction: true,
       prettyLogTemplate: '',
-      overwrite: { transportFormatted: (_meta, args) => this._writeLine(`${args.join(' ')}\n`) }
+      // The line is complete; masking, run-time details and styles took half of the time of a line.
+      overwrite: {
+        mask: args => args,
+        toLogObj: args => args,
+        addMeta: args => args as unknown[] & ILogObjMeta,
+        formatMeta: () => '',
+        formatLogObj: args => ({ args, errors: [] }),
+        transportFormatted: (_meta, args) => this._writeLine(`${args.join(' ')}\n`)
+      }
     })
   }
 
