Node directory: the list of live peers is kept between uses

Cause: each use of the live peers (their number for each request, the owner of a partition, relays, the status composed every 200 ms) listed all peers anew. Change: the list is kept until a peer comes, goes or may be late; a status takes the place of the earlier one in it.

--- a/packages/node/src/node/routed/nodeDirectory.ts
+++ b/packages/node/src/node/routed/nodeDirectory.ts
@@ -17,6 +17,8 @@
   addedAtMs: number
   /** True after the connection to the peer was lost, until its next status. */
   isDisconnected: boolean
+  /** Where its status is in the list of live peers; undefined while it is not in it. */
+  aliveIndex?: number
 }
 
 /** What this node knows of itself beside its address. */
@@ -47,6 +49,9 @@
 export class NodeDirectory {
   private readonly _nodes = new Map<string, KnownNode>()
   private _rotation = 0
+  /** The statuses of the live peers, valid until `_aliveUntilMs`; undefined after a peer has come or gone. Listing hundreds of peers anew for each use took more time than some of the uses. */
+  private _alive: NodeStatus[] | undefined
+  private _aliveUntilMs = Number.NEGATIVE_INFINITY
 
   constructor (private readonly _options: NodeDirectoryOptions) {}
 
@@ -55,6 +60,7 @@
     if (address.node === this._options.self.node) return
     const known = this._nodes.get(address.node)
     if (known !== undefined && known.address.incarnation >= address.incarnation) return
+    this._alive = undefined
     this._nodes.set(address.node, { address, lastStatusAtMs: Number.NEGATIVE_INFINITY, addedAtMs: this._options.nowMs(), isDisconnected: false })
     this._options.onAdded(address)
   }
@@ -67,12 +73,18 @@
     known.status = status
     known.lastStatusAtMs = this._options.nowMs()
     known.isDisconnected = false
+    if (known.aliveIndex === undefined || this._alive === undefined) this._alive = undefined
+    else this._alive[known.aliveIndex] = status
+    // A period that became shorter ends the validity earlier.
+    this._aliveUntilMs = Math.min(this._aliveUntilMs, known.lastStatusAtMs + heartbeatTimeoutMs(status.periodMs))
   }
 
   /** Treats a peer whose connection closed as not alive until its next status, so that the end of a process is detected at once. */
   markDisconnected (node: string): void {
     const known = this._nodes.get(node)
-    if (known !== undefined) known.isDisconnected = true
+    if (known === undefined) return
+    known.isDisconnected = true
+    this._alive = undefined
   }
 
   /** Number of known peers, alive or not. */
@@ -80,12 +92,24 @@
     return this._nodes.size
   }
 
-  /** Latest statuses of the connected peers within the heartbeat timeout. */
-  get alive (): NodeStatus[] {
+  /** Latest statuses of the connected peers within the heartbeat timeout. The list is to be read at once and not to be changed. */
+  get alive (): readonly NodeStatus[] {
     const nowMs = this._options.nowMs()
+    if (this._alive === undefined || !(nowMs <= this._aliveUntilMs)) this._alive = this._listAlive(nowMs)
+    return this._alive
+  }
+
+  private _listAlive (nowMs: number): NodeStatus[] {
     const statuses: NodeStatus[] = []
-    for (const { status, lastStatusAtMs, isDisconnected } of this._nodes.values()) {
-      if (status !== undefined && !isDisconnected && nowMs - lastStatusAtMs <= heartbeatTimeoutMs(status.periodMs)) statuses.push(status)
+    this._aliveUntilMs = Number.POSITIVE_INFINITY
+    for (const known of this._nodes.values()) {
+      const { status, lastStatusAtMs, isDisconnected } = known
+      known.aliveIndex = undefined
+      if (status === undefined || isDisconnected) continue
+      const untilMs = lastStatusAtMs + heartbeatTimeoutMs(status.periodMs)
+      if (!(nowMs <= untilMs)) continue
+      known.aliveIndex = statuses.push(status) - 1
+      this._aliveUntilMs = Math.min(this._aliveUntilMs, untilMs)
     }
     return statuses
   }
@@ -147,6 +171,7 @@
     for (const [node, { lastStatusAtMs, addedAtMs }] of this._nodes) {
       if (nowMs - Math.max(lastStatusAtMs, addedAtMs) < REMOVAL_TIMEOUT_MS) continue
       this._nodes.delete(node)
+      this._alive = undefined
       this._options.onRemoved(node)
     }
   }
--- a/packages/node/test/node/routed/nodeDirectory.test.ts
+++ b/packages/node/test/node/routed/nodeDirectory.test.ts
@@ -1,7 +1,9 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { SeededRandom } from '@trefoilshunt/core'
 import type { NodeAddress, NodeStatus } from '../../../src/common/routed/routedPeerMessages.js'
 import { NodeDirectory, type OwnState } from '../../../src/node/routed/nodeDirectory.js'
+import { heartbeatTimeoutMs } from '../../../src/node/routed/statusPeriod.js'
 
 const PERIOD_MS = 200
 const SELF_STATE: OwnState = { isReady: false, reachesWorkers: true, cores: 1, busyShare: 0 }
@@ -70,4 +72,31 @@
   assert.equal(directory.callerAddresses('d', SELF_STATE).sort(), large('d'))
 })
 
+test('the list of live peers, which is kept between uses, has no peer that is late, lost or gone, and the newest status of each other one', () => {
+  for (let seed = 0; seed < 50; seed++) {
+    const random = new SeededRandom(seed)
+    const clock = { nowMs: 0 }
+    const directory = createDirectory(clock)
+    const expected = new Map<string, { status: NodeStatus, untilMs: number }>()
+    for (let step = 0; step < 300; step++) {
+      const node = `n${random.nextInt(6)}`
+      clock.nowMs += random.nextInt(random.nextInt(40) === 0 ? 70_000 : 300)
+      const event = random.nextInt(5)
+      if (event === 0) {
+        directory.markDisconnected(node)
+        expected.delete(node)
+      } else if (event === 1) {
+        directory.removeInactive()
+      } else {
+        const status = createStatus(node, { periodMs: 200 + random.nextInt(2_000), documentVersion: step })
+        directory.applyStatus(status)
+        expected.set(node, { status, untilMs: clock.nowMs + heartbeatTimeoutMs(status.periodMs) })
+      }
+      const byNode = (left: NodeStatus, right: NodeStatus): number => left.from.node.localeCompare(right.from.node)
+      const live = [...expected.values()].filter(({ untilMs }) => clock.nowMs <= untilMs).map(({ status }) => status)
+      assert.equal([...directory.alive].sort(byNode), live.sort(byNode), `seed ${seed}, step ${step}`)
+    }
+  }
+})
+
 test.run()
