Learn the speeds of model engines, and choose workers by them

Cause: the choice treats a worker's speed as 1 while its durations are under 1.8 of the mean, and assumes 471 prompt tokens a ms.

--- a/packages/core/src/common/workers/workerChoice.ts
+++ b/packages/core/src/common/workers/workerChoice.ts
@@ -3,6 +3,7 @@
 import { hash32 } from '../base/rendezvous.js'
 import { IRandom } from '../kernel/random.js'
 import type { CachedPart, PromptPart } from '../turns/promptCacheIndex.js'
+import type { LearnedSpeeds } from './engineSpeed.js'
 import { IWorkerStatistics } from './workerStatistics.js'
 import type { WorkerRegistration } from './workerRegistry.js'
 
@@ -22,6 +23,10 @@
   /** True for a worker that this node can call without opening a connection. */
   isConnected: (worker: WorkerRegistration) => boolean
   nowMs: number
+  /** Learned speeds, which replace the assumed ones. */
+  speeds?: LearnedSpeeds
+  /** Time that the request can lose at a slow worker, and the weight of this time, below 1 while the fast workers are needed by others. */
+  slack?: { extraMs: number, weight: number }
 }
 
 /** Rule by which workers are chosen; all but `ExpectedTime` are baselines of the experiments. */
@@ -107,13 +112,20 @@
     }
   }
 
+  /** Tokens of the prompt that the worker probably has not cached. */
+  missingTokensOf (worker: WorkerRegistration, request: Pick<WorkerChoiceQuery, 'prompt' | 'cached'>): number {
+    return this._missingTokens(worker, request, new Set())
+  }
+
   /** Expected time until the worker has answered, in milliseconds. */
   private _expectedMs (worker: WorkerRegistration, query: WorkerChoiceQuery, prefixWorkers: ReadonlySet<string>): number {
-    const { prefillTokensPerMs, batchSlowdown, crossZoneMs, connectMs, failureMs } = this._options
+    const { crossZoneMs, connectMs, failureMs } = this._options
+    const batchSlowdown = query.speeds?.batchSlowdown ?? this._options.batchSlowdown
+    const prefillTokensPerMs = query.speeds?.prefillTokensPerMsOf?.(worker.workerId) ?? this._options.prefillTokensPerMs
     const inFlight = this._statistics.inFlightOf(worker.workerId)
     const slots = Math.max(1, worker.slots)
     const running = Math.min(inFlight, slots)
-    const runningMs = query.durationMs * this._slowness(worker) * (1 + batchSlowdown * running)
+    const runningMs = query.durationMs * this._slowness(worker, query) * (1 + batchSlowdown * running)
     const waitMs = inFlight < slots ? 0 : runningMs * (inFlight - slots + 1) / slots
     // Processing a prompt delays the tokens of every request in the batch.
     const prefillMs = this._missingTokens(worker, query, prefixWorkers) / prefillTokensPerMs * (1 + running)
@@ -123,8 +135,13 @@
     return runningMs + waitMs + prefillMs + zoneMs + connectionMs + riskMs
   }
 
-  /** Returns 1 below `minSlowness`, because durations also vary with the random length of answers. */
-  private _slowness (worker: WorkerRegistration): number {
+  /** Without learned speeds, returns 1 below `minSlowness`, because durations also vary with the random length of answers. */
+  private _slowness (worker: WorkerRegistration, { speeds, slack, durationMs }: WorkerChoiceQuery): number {
+    const learned = speeds?.slownessOf?.(worker.workerId)
+    if (learned !== undefined) {
+      const extra = learned - 1
+      return extra > 0 && slack !== undefined && extra * durationMs <= slack.extraMs ? 1 + extra * slack.weight : learned
+    }
     const slowness = this._statistics.slownessOf(worker.workerId)
     return slowness < this._options.minSlowness ? 1 : slowness
   }
@@ -133,7 +150,7 @@
    * Tokens that the worker has to process. A worker that caches a part has processed the parts before it too, with the same
    * request. The first part counts as cached on its prefix workers, so that they are chosen for it.
    */
-  private _missingTokens (worker: WorkerRegistration, { prompt, cached }: WorkerChoiceQuery, prefixWorkers: ReadonlySet<string>): number {
+  private _missingTokens (worker: WorkerRegistration, { prompt, cached }: Pick<WorkerChoiceQuery, 'prompt' | 'cached'>, prefixWorkers: ReadonlySet<string>): number {
     let missingTokens = 0
     for (let index = prompt.length - 1; index >= 0; index--) {
       const part = prompt[index]
