Place requests by learned speeds, weighted slots and free memory

Change: ServicePlacement learns from PlacementEnd.eventTimes. While speeds differ, confidently, by a quarter: earliest finish with the learned speeds, slow slots counted by their work, a turn with time to spare leaves fast engines to others, and workers whose memory is taken are left out while others have room. Else as before, except for a prompt rate that is off by more than a quarter.

--- a/packages/core/src/common/workers/servicePlacement.ts
+++ b/packages/core/src/common/workers/servicePlacement.ts
@@ -1,11 +1,14 @@
 /** Assigns the requests of a service to its workers at the one node that knows all of them, with a queue while no slot is free. */
+import { Ewma } from '../base/ewma.js'
 import type { CachedPart, PromptPart } from '../turns/promptCacheIndex.js'
 import type { IRandom } from '../kernel/random.js'
+import { EngineSpeeds, type EventTimes, type LearnedSpeeds, type SpeedSummary } from './engineSpeed.js'
 import { ProgramsInProgress, type ProgramsInProgressOptions } from './programsInProgress.js'
 import { RequestRates, timeForRequestsMs } from './requestRates.js'
 import { DEFAULT_WORKER_CHOICE, WorkerChoice } from './workerChoice.js'
 import type { WorkerRegistration } from './workerRegistry.js'
 import { WorkerStatistics } from './workerStatistics.js'
+import { WorkerTokens } from './workerTokens.js'
 
 /** A request that needs a slot of a worker. */
 export interface PlacementRequest {
@@ -42,6 +45,8 @@
   durationRatio?: number
   /** Severity of a failure of the worker, up to 1; absent if it did not fail. */
   failureSeverity?: number
+  /** Absent if the answer was no whole stream of this request, from nodes of earlier builds, and if reading it was paused. */
+  eventTimes?: EventTimes
 }
 
 /** Decision on a request. */
@@ -68,6 +73,10 @@
   maxRetryAfterMs: number
   /** Time for which a load known from elsewhere counts after `adoptLoad`; it decreases evenly to 0. */
   adoptedLoadMs: number
+  /** False leaves the speeds of the workers out of all decisions. */
+  learnsSpeeds: boolean
+  /** Share of a program's remaining time that a turn may lose at a slow worker. */
+  slackShare: number
   /** A placement whose release is lost is removed this long after its request's deadline. */
   releaseGraceMs: number
 }
@@ -85,6 +94,8 @@
   maxRetryAfterMs: 5_000,
   memoryMs: 10_000,
   adoptedLoadMs: 1_000,
+  learnsSpeeds: true,
+  slackShare: 0.2,
   releaseGraceMs: 500
 }
 
@@ -95,6 +106,10 @@
   cacheTokens: number
   /** Requests per second that workers with a rate limit may get from here. */
   ratesPerS: ReadonlyMap<string, number>
+  /** Tokens of an event of the workers' streams; absent for workers that generate none, whose speeds are not learned. */
+  tokensPerEvent?: number
+  /** True if the memory of the workers limits what they get also while their speeds are equal. */
+  limitsTokens?: boolean
 }
 
 interface QueuedRequest {
@@ -107,11 +122,24 @@
 
 interface OpenPlacement {
   workerId: string
+  /** Start of the worker. */
+  startedAtMs: number
+  /** Prompt tokens that the worker had to read before the request's first event. */
+  readTokens: number
+  prompt: readonly PromptPart[]
+  /** Output tokens that were expected of the request. */
+  outputTokens: number
+  /** Requests in flight at the worker after the placement. */
+  inFlight: number
+  slots: number
   programId: string | undefined
   expiresAtMs: number
 }
 
 const ADOPTED_LOAD = 'adopted'
+const OUTPUT_WEIGHT = 0.02
+/** Workers up to this slowness are the fast ones of a service with uneven speeds. */
+const MAX_FAST_SLOWNESS = 1.15
 
 /**
  * The state of one service, or of one part of its workers. No worker gets many more requests at once than it has slots, so queues
@@ -127,6 +155,12 @@
   private readonly _open = new Map<string, OpenPlacement>()
   private readonly _programs: ProgramsInProgress
   private readonly _rates = new RequestRates()
+  private readonly _speeds = new EngineSpeeds(DEFAULT_WORKER_CHOICE)
+  private readonly _tokens = new WorkerTokens()
+  /** Output tokens of a request. */
+  private readonly _outputTokens = new Ewma(OUTPUT_WEIGHT, 0)
+  /** Start of each worker whose speed was observed. */
+  private readonly _startsMs = new Map<string, number>()
   /** Time to return that the last refusal named while the rate limits bound; later ones follow at the rate of the workers. */
   private _lastReturnAtMs = Number.NEGATIVE_INFINITY
   private _queue: QueuedRequest[] = []
@@ -149,6 +183,17 @@
     return this._queue.length
   }
 
+  /** Learned speeds of the workers. */
+  speedSummary (nowMs: number): SpeedSummary {
+    return this._speeds.summary(nowMs)
+  }
+
+  /** Slots of the workers, those of a slow one counted by the work that it completes relative to the median worker. */
+  roomOf ({ workers }: PlacementService, nowMs: number): number {
+    const { slownessOf } = this._currentSpeeds(nowMs)
+    return workers.reduce((total, { workerId, slots }) => total + slots / Math.max(1, slownessOf?.(workerId) ?? 1), 0)
+  }
+
   /** Counts requests in flight by worker that another coordinator has placed. */
   adoptLoad (inFlight: Readonly<Record<string, number>>, nowMs: number): void {
     this._adoptedLoad = inFlight
@@ -172,6 +217,7 @@
       this._queue = this._queue.filter(({ request }) => request.placementId !== placementId)
       return []
     }
+    this._observe(open, end, service, nowMs)
     this._close(placementId, open, nowMs, end.durationRatio)
     if (end.failureSeverity !== undefined) this._statistics.recordFailure(open.workerId, nowMs, end.failureSeverity)
     return this.decideQueued(service, nowMs)
@@ -183,7 +229,7 @@
     const decided: SlotPlacement[] = []
     const remaining: QueuedRequest[] = []
     let free = this._queue.length === 0 ? 0 : this._freeSlots(service)
-    const slots = service.workers.reduce((total, worker) => total + worker.slots, 0)
+    const slots = this._queue.length === 0 ? 0 : this.roomOf(service, nowMs)
     let programs = this._queue.every(isAlwaysAdmitted) ? 0 : this._programCount(nowMs)
     for (const queued of this._queue) {
       const mayBegin = isAlwaysAdmitted(queued) || programs < slots * this._maxProgramsPerSlot(queued)
@@ -206,6 +252,8 @@
   removeWorker (workerId: string): void {
     this._statistics.removeWorker(workerId)
     this._rates.removeWorker(workerId)
+    this._speeds.removeWorker(workerId)
+    this._startsMs.delete(workerId)
   }
 
   /** Ends the placements whose release is overdue and forgets ended programs; returns the ids of the placements. */
@@ -218,19 +266,28 @@
 
   private _placeNow (request: PlacementRequest, service: PlacementService, nowMs: number): SlotPlacement | undefined {
     const { workers, cacheTokens, ratesPerS } = service
+    const speeds = this._currentSpeeds(nowMs)
+    const free = workers.filter(worker => isOfVersion(worker, request) && this._mayTake(worker, service, nowMs))
     const worker = this._choice.chooseWorker({
-      candidates: workers.filter(worker => isOfVersion(worker, request) && this._mayTake(worker, service, nowMs)),
+      candidates: speeds.slownessOf === undefined && service.limitsTokens !== true ? free : this._filterByMemory(free, request, service),
       excluded: new Set(request.excluded),
       zone: request.zone,
       durationMs: request.durationMs,
       prompt: request.prompt,
       cached: request.cached,
       isConnected: () => true,
-      nowMs
+      nowMs,
+      speeds,
+      slack: this._slackOf(request, service, speeds)
     })
     if (worker === undefined) return undefined
-    const { workerId } = worker
-    this._open.set(request.placementId, { workerId, programId: request.programId, expiresAtMs: nowMs + request.timeLeftMs + this._options.releaseGraceMs })
+    const { workerId, startedAtMs, slots } = worker
+    const { prompt } = request
+    const readTokens = this._learns(service) ? this._speeds.recordAssignment(workerId, this._choice.missingTokensOf(worker, request), nowMs) : 0
+    const inFlight = this._statistics.inFlightOf(workerId) + 1
+    const outputTokens = this._outputTokens.value
+    this._tokens.begin(workerId, prompt, outputTokens)
+    this._open.set(request.placementId, { workerId, startedAtMs, readTokens, prompt, outputTokens, inFlight, slots, programId: request.programId, expiresAtMs: nowMs + request.timeLeftMs + this._options.releaseGraceMs })
     if (ratesPerS.has(workerId)) this._rates.take(workerId, nowMs)
     this._statistics.beginRequest(workerId)
     this._statistics.recordPrompt(workerId, request.prompt, cacheTokens)
@@ -245,8 +302,51 @@
     return ratePerS === undefined || this._rates.mayTake(workerId, ratePerS, nowMs)
   }
 
-  private _close (placementId: string, { workerId, programId }: OpenPlacement, nowMs: number, durationRatio?: number): void {
+  /** Leaves out workers whose memory does not hold the request beside those in flight, unless no other is free: an engine preempts requests then, and reads them again. */
+  private _filterByMemory (free: WorkerRegistration[], { prompt, excluded }: PlacementRequest, { cacheTokens }: PlacementService): WorkerRegistration[] {
+    const withRoom = free.filter(({ workerId }) => this._tokens.tokensWith(workerId, prompt, this._outputTokens.value) <= cacheTokens)
+    return withRoom.some(({ workerId }) => !excluded.includes(workerId)) ? withRoom : free
+  }
+
+  private _learns ({ tokensPerEvent }: PlacementService): boolean {
+    return tokensPerEvent !== undefined && this._options.learnsSpeeds
+  }
+
+  private _currentSpeeds (nowMs: number): LearnedSpeeds {
+    return this._options.learnsSpeeds ? this._speeds.current(nowMs) : {}
+  }
+
+  /**
+   * What the request can lose at a slow worker. The weight of that time falls with the share of the other workers' slots that are taken, which are
+   * then left to requests in a hurry.
+   */
+  private _slackOf ({ finishMs, durationMs }: PlacementRequest, { workers }: PlacementService, { slownessOf }: LearnedSpeeds): { extraMs: number, weight: number } | undefined {
+    if (slownessOf === undefined || finishMs === undefined) return undefined
+    let fastSlots = 0
+    let takenSlots = 0
+    for (const { workerId, slots } of workers) {
+      if (slownessOf(workerId) > MAX_FAST_SLOWNESS) continue
+      fastSlots += slots
+      takenSlots += Math.min(slots, this._statistics.inFlightOf(workerId))
+    }
+    return { extraMs: (finishMs - durationMs) * this._options.slackShare, weight: fastSlots === 0 ? 1 : 1 - takenSlots / fastSlots }
+  }
+
+  /** Learns from a completed stream. */
+  private _observe ({ workerId, startedAtMs, readTokens, inFlight, slots }: OpenPlacement, { eventTimes }: PlacementEnd, service: PlacementService, nowMs: number): void {
+    const { workers, tokensPerEvent } = service
+    if (eventTimes === undefined || tokensPerEvent === undefined || !this._learns(service)) return
+    if (workers.find(worker => worker.workerId === workerId)?.startedAtMs !== startedAtMs) return
+    if ((this._startsMs.get(workerId) ?? startedAtMs) !== startedAtMs) this._speeds.removeWorker(workerId)
+    this._startsMs.set(workerId, startedAtMs)
+    this._outputTokens.add(eventTimes[2] * tokensPerEvent)
+    const running = (Math.min(slots, inFlight) + Math.min(slots, this._statistics.inFlightOf(workerId))) / 2
+    this._speeds.observe(workerId, { times: eventTimes, tokensPerEvent, readTokens, running, hasWaited: inFlight > slots }, nowMs)
+  }
+
+  private _close (placementId: string, { workerId, programId, prompt, outputTokens }: OpenPlacement, nowMs: number, durationRatio?: number): void {
     this._open.delete(placementId)
+    this._tokens.end(workerId, prompt, outputTokens)
     this._statistics.endRequest(workerId, durationRatio)
     this._programs.endTurn(programId, nowMs)
   }
--- a/packages/core/test/common/workers/load/coordinatedPlacement.ts
+++ b/packages/core/test/common/workers/load/coordinatedPlacement.ts
@@ -1,7 +1,7 @@
 /** Nodes that request a slot of a worker from the coordinator of the service. */
-import { PromptCacheIndex, SeededRandom, ServicePlacement, type PlacementEnd, type SlotPlacement } from '@trefoilshunt/core'
+import { type EventTimes, PromptCacheIndex, SeededRandom, ServicePlacement, type PlacementEnd, type PlacementService, type SlotPlacement } from '@trefoilshunt/core'
 import { drawWayMs, type SimulatedFleet } from './localPlacement.js'
-import type { StartAttempt } from './programLoad.js'
+import { type StartAttempt, TOKENS_PER_EVENT } from './programLoad.js'
 import { GROWN_ENGINE, type EngineRequest, type SimulatedEngine } from './simulatedEngine.js'
 
 const BUSY_RETRY_AFTER_MS = 120
@@ -9,9 +9,18 @@
 const DEADLINE_MS = 3_000
 const DECISION_PERIOD_MS = 20
 
-export function createCoordinatedPlacement ({ events, random, workers, engines }: SimulatedFleet): StartAttempt {
-  const service = { workers, cacheTokens: GROWN_ENGINE.kvTokens, ratesPerS: new Map<string, number>() }
-  const coordinator = new ServicePlacement(new SeededRandom(1))
+export interface CoordinatedPlacementOptions {
+  /** The present coordinator; another one may take its place while requests are open. */
+  coordinator: () => ServicePlacement
+  service: PlacementService
+  /** Called with each worker that gets a request. */
+  onPlaced: (workerId: string) => void
+}
+
+export function createCoordinatedPlacement ({ events, random, workers, engines }: SimulatedFleet, options: Partial<CoordinatedPlacementOptions> = {}): StartAttempt {
+  const service = options.service ?? { workers, cacheTokens: GROWN_ENGINE.kvTokens, ratesPerS: new Map<string, number>(), tokensPerEvent: TOKENS_PER_EVENT }
+  const onlyCoordinator = new ServicePlacement(new SeededRandom(1))
+  const resolveCoordinator = options.coordinator ?? (() => onlyCoordinator)
   const sessions = new PromptCacheIndex()
   const waiting = new Map<string, (placement: SlotPlacement) => void>()
   let lastId = 0
@@ -21,7 +30,7 @@
     events.after(drawWayMs(random), () => onPlacement?.(placement))
   }
   const decide = (): void => {
-    coordinator.decideQueued(service, events.nowMs()).forEach(reply)
+    resolveCoordinator().decideQueued(service, events.nowMs()).forEach(reply)
     events.after(DECISION_PERIOD_MS, decide)
   }
   decide()
@@ -30,7 +39,7 @@
     const { prompt } = attempt
     let isOpen = true
     const release = (end: PlacementEnd): void => {
-      events.after(drawWayMs(random), () => coordinator.release(placementId, end, service, events.nowMs()).forEach(reply))
+      events.after(drawWayMs(random), () => resolveCoordinator().release(placementId, end, service, events.nowMs()).forEach(reply))
     }
     const close = (end: PlacementEnd, then: () => void): void => {
       if (!isOpen) return
@@ -42,11 +51,16 @@
       prompt,
       outputTokens: attempt.outputTokens,
       urgency: attempt.priority * 2 + (attempt.isFirstTurn ? 1 : 0),
-      onFirstToken: attempt.onFirstToken,
-      onEnd: () => close({ durationRatio: 1 }, () => attempt.onEnd()),
+      onFirstToken: () => {
+        firstTokenAtMs = events.nowMs()
+        attempt.onFirstToken()
+      },
+      onEnd: () => close({ durationRatio: 1, eventTimes: toEventTimes(sentAtMs, firstTokenAtMs, events.nowMs(), attempt.outputTokens) }, () => attempt.onEnd()),
       onRefused: () => close({ failureSeverity: 0.5 }, () => attempt.onRefused(BUSY_RETRY_AFTER_MS))
     }
     let engine: SimulatedEngine | undefined
+    let sentAtMs = 0
+    let firstTokenAtMs = 0
     waiting.set(placementId, placement => {
       if (placement.type === 'refused') {
         close({}, () => attempt.onRefused(placement.retryAfterMs))
@@ -57,11 +71,13 @@
         return
       }
       engine = engines.get(placement.workerId)
+      sentAtMs = events.nowMs()
+      options.onPlaced?.(placement.workerId)
       sessions.recordPrompt(placement.workerId, prompt)
       events.after(drawWayMs(random), () => { if (isOpen) engine?.submit(request) })
     })
     events.after(drawWayMs(random), () => {
-      coordinator.place({
+      resolveCoordinator().place({
         placementId,
         programId: attempt.programId,
         hasBegun: !attempt.isFirstTurn,
@@ -79,3 +95,11 @@
     return () => close({}, () => engine?.cancel(request))
   }
 }
+
+/** Times of the events as a node measures them: an event follows every `TOKENS_PER_EVENT` tokens. */
+function toEventTimes (sentAtMs: number, firstTokenAtMs: number, endAtMs: number, outputTokens: number): EventTimes {
+  const events = outputTokens / TOKENS_PER_EVENT
+  const eventMs = (endAtMs - firstTokenAtMs) / Math.max(1, outputTokens - 1) * TOKENS_PER_EVENT
+  const eventsMs = (events - 1) * eventMs
+  return [Math.round(endAtMs - eventsMs - sentAtMs), Math.round(eventsMs), events]
+}
--- a/packages/core/test/common/workers/load/programLoad.ts
+++ b/packages/core/test/common/workers/load/programLoad.ts
@@ -25,7 +25,7 @@
 const SHARED_PROMPTS = 8
 const SHARED_TOKENS = 12_600
 const SHARED_SKEW = 0.7
-const TOKENS_PER_EVENT = 36
+export const TOKENS_PER_EVENT = 36
 const MEAN_EVENTS = 7.13
 const MAX_EVENTS = 16
 /** Time on the way that the aim allows for each turn. */
