Report the times of streams' events to the coordinator, with metrics and a log line of learned speeds

Cause: the coordinator learned only the ratio of a whole duration to the route's mean. Change: the node that forwards a whole stream without pauses sends [time to the first event, time from first to last, events] with the end of its placement (PlacementEnd.eventTimes, whole ms; about 19 bytes as MessagePack). Gauges worker_token_fastest_ms, _slowest_ms, _mean_ms, worker_prompt_tokens_per_ms, worker_speeds_uneven and worker_room_slots by service and shard at the coordinator; log line workerSpeedsChanged. The memory of the workers limits placement also at equal speeds if the document holds accounts.

--- a/packages/node/src/common/metrics.ts
+++ b/packages/node/src/common/metrics.ts
@@ -38,10 +38,16 @@
     entry.sumMs += durationMs
   }
 
-  /** Renders all metrics in the Prometheus text format; `gauges` holds the current value of each gauge by name. */
+  /** Renders all metrics in the Prometheus text format; `gauges` holds the current value of each gauge by name, which may end with labels. */
   render (gauges: Record<string, number>): string {
     const lines: string[] = []
-    for (const [name, value] of Object.entries(gauges)) lines.push(`# TYPE ${PREFIX}${name} gauge`, `${PREFIX}${name} ${value}`)
+    let lastFamily: string | undefined
+    for (const [name, value] of Object.entries(gauges)) {
+      const [family] = name.split('{')
+      if (family !== lastFamily) lines.push(`# TYPE ${PREFIX}${family} gauge`)
+      lastFamily = family
+      lines.push(`${PREFIX}${name} ${value}`)
+    }
     for (const [name, series] of this._counters) {
       lines.push(`# TYPE ${PREFIX}${name} counter`)
       for (const [labels, { value }] of series) lines.push(`${PREFIX}${name}${labels} ${value}`)
@@ -63,7 +69,8 @@
   return [...quantiles, `${PREFIX}${name}_sum${suffix} ${sumMs}`, `${PREFIX}${name}_count${suffix} ${histogram.totalCount}`]
 }
 
-function formatLabels (labels: Labels): string {
+/** Labels as they follow the name of a metric. */
+export function formatLabels (labels: Labels): string {
   const pairs = Object.entries(labels).map(([name, value]) => `${name}="${value.replace(/[\\"\n]/g, '_')}"`)
   return pairs.length === 0 ? '' : `{${pairs.join(',')}}`
 }
--- a/packages/node/src/node/routed/answerRelay.ts
+++ b/packages/node/src/node/routed/answerRelay.ts
@@ -1,5 +1,5 @@
 /** Forwards a worker's answer to the caller: streams event by event, other answers as whole bodies up to a size. */
-import { EventSequence } from '@trefoilshunt/core'
+import { EventSequence, type EventTimes } from '@trefoilshunt/core'
 import { type EventBatch, EventFrameSplitter, type StreamEvent } from '../../common/routed/eventFrames.js'
 import type { IAnswerSink } from '../../common/routed/routedRequest.js'
 import type { WorkerAnswerHead } from '../../common/routed/workerClient.js'
@@ -78,6 +78,8 @@
   private _firstByteAtMs: number | undefined
   private _eventCount = 0
   private readonly _sequence: EventSequence
+  /** Times at which the first and the last event of the current attempt arrived, and their number; undefined after reading was paused, which changes the times. */
+  private _arrivals: { firstAtMs: number, lastAtMs: number, count: number } | undefined
   /** True if the forwarded head is that of a stream. */
   private _isBegunStream = false
   private _isLastEventIdentified = true
@@ -137,6 +139,13 @@
     return this._lastEventId
   }
 
+  /** Times of the current attempt's events, if it was sent at `sentAtMs` and brought the whole stream; undefined if reading it was paused. */
+  eventTimesSince (sentAtMs: number): EventTimes | undefined {
+    if (this._arrivals === undefined || this._arrivals.count === 0 || this._receivedEvents !== this._arrivals.count || this._options.lastEventId !== undefined) return undefined
+    const { firstAtMs, lastAtMs, count } = this._arrivals
+    return [Math.round(firstAtMs - sentAtMs), Math.round(lastAtMs - firstAtMs), count]
+  }
+
   /** Steady time at which the first head of an answer arrived; undefined before. */
   get firstByteAtMs (): number | undefined {
     return this._firstByteAtMs
@@ -181,6 +190,7 @@
   beginAttempt (maxEvents = Number.POSITIVE_INFINITY): void {
     this._maxEvents = maxEvents
     this._sequence.beginAttempt(this._hasBegun)
+    this._arrivals = this._isBackpressured ? undefined : { firstAtMs: 0, lastAtMs: 0, count: 0 }
     this._head = undefined
     this._isStream = false
     this._splitter = new EventFrameSplitter()
@@ -245,6 +255,7 @@
       this._acceptEvents({ bytes: batch.bytes.subarray(0, events.at(-1)?.endOffset ?? 0), events })
       return problem
     }
+    this._recordArrival(batch.events.length)
     this._acceptEvents(batch)
     const lastEnd = batch.events.at(-1)?.endOffset
     this._bytesWithoutEvent = batch.bytes.length - (lastEnd ?? 0) + (lastEnd === undefined ? this._bytesWithoutEvent : 0)
@@ -253,6 +264,14 @@
     return this._splitter.rest.length > MAX_EVENT_BYTES ? 'an event without end' : undefined
   }
 
+  private _recordArrival (count: number): void {
+    if (this._arrivals === undefined || count === 0) return
+    const nowMs = steadyNowMs()
+    if (this._arrivals.count === 0) this._arrivals.firstAtMs = nowMs
+    this._arrivals.lastAtMs = nowMs
+    this._arrivals.count += count
+  }
+
   private _checkEvent ({ id }: StreamEvent): string | undefined {
     return ++this._receivedEvents > this._maxEvents ? 'more events than the request may generate' : this._sequence.accept(id)
   }
@@ -315,6 +334,7 @@
     const isBackpressured = this._isSinkFull || (!this._isForwarding && isHoldingEnough)
     if (isBackpressured === this._isBackpressured) return
     this._isBackpressured = isBackpressured
+    this._arrivals = undefined
     this._options.onBackpressure?.(isBackpressured)
   }
 }
--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -1,6 +1,7 @@
 /** The gauges of a node, for its metrics endpoint. */
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { IWorkerNotices } from '@trefoilshunt/core'
+import { formatLabels } from '../../common/metrics.js'
 import { steadyNowMs } from '../steadyClock.js'
 import type { ClusterView } from './clusterView.js'
 import type { NodeDirectory } from './nodeDirectory.js'
@@ -9,7 +10,7 @@
 import type { RelayClient } from './paths/relayClient.js'
 import type { RelayServer } from './paths/relayServer.js'
 import type { WorkerLinks } from './paths/workerLinks.js'
-import type { PlacementCoordinator } from './placementCoordinator.js'
+import type { PlacementCoordinator, ShardSpeeds } from './placementCoordinator.js'
 import type { PoisonRequestDetector } from './poisonRequestDetector.js'
 import type { ReportedRequests } from './reportedRequests.js'
 import type { SuspectGate } from './suspectGate.js'
@@ -20,6 +21,15 @@
 const NS_PER_MS = 1e6
 const US_PER_S = 1e6
 
+const SPEED_GAUGES: ReadonlyArray<[name: string, valueOf: (speeds: ShardSpeeds) => number]> = [
+  ['worker_token_fastest_ms', ({ fastestMs }) => fastestMs],
+  ['worker_token_slowest_ms', ({ slowestMs }) => slowestMs],
+  ['worker_token_mean_ms', ({ meanMs }) => meanMs],
+  ['worker_prompt_tokens_per_ms', ({ prefillTokensPerMs }) => prefillTokensPerMs],
+  ['worker_speeds_uneven', ({ isUneven }) => Number(isUneven)],
+  ['worker_room_slots', ({ room }) => room]
+]
+
 export interface NodeGaugesOptions {
   links: WorkerLinks
   relays: RelayClient
@@ -92,7 +102,21 @@
       resident_memory_bytes: memory.rss,
       heap_used_bytes: memory.heapUsed,
       event_loop_delay_p99_ms: this._loopDelay.percentile(99) / NS_PER_MS,
-      cpu_seconds: (cpu.user + cpu.system) / US_PER_S
+      cpu_seconds: (cpu.user + cpu.system) / US_PER_S,
+      ...this._readSpeeds()
+    }
+  }
+
+  /** Learned speeds of the service shards that this node coordinates; none while no speed is known. */
+  private _readSpeeds (): Record<string, number> {
+    const gauges: Record<string, number> = {}
+    const { speeds } = this._options.coordinator
+    for (const [name, valueOf] of SPEED_GAUGES) {
+      for (const shardSpeeds of speeds) {
+        const { service, index } = shardSpeeds.shard
+        gauges[`${name}${formatLabels({ service, shard: String(index) })}`] = valueOf(shardSpeeds)
+      }
     }
+    return gauges
   }
 }
--- a/packages/node/src/node/routed/placementCoordinator.ts
+++ b/packages/node/src/node/routed/placementCoordinator.ts
@@ -1,5 +1,5 @@
 /** Assigns slots of workers for the service shards that this node coordinates. */
-import { type IRandom, type IRouteTable, type IWorkerNotices, type IWorkerRegistry, type IWorkerStatistics, type LogFields, type PlacementService, type PlacementEnd, type PlacementRequest, ServicePlacement, type SlotPlacement, type WorkerRegistration } from '@trefoilshunt/core'
+import { type IRandom, type IRouteTable, type IWorkerNotices, type IWorkerRegistry, type IWorkerStatistics, type LogFields, type PlacementService, type PlacementEnd, type PlacementRequest, ServicePlacement, type SpeedSummary, type SlotPlacement, type WorkerRegistration } from '@trefoilshunt/core'
 import { type PlaceReply, type ServiceShard, shardIndexOf, shardKeyOf } from '../../common/routed/routedPeerMessages.js'
 import { steadyNowMs } from '../steadyClock.js'
 
@@ -12,6 +12,13 @@
 /** Sends a reply to a request for a slot; none follows one with `isLast`. */
 export type PlaceResponder = (reply: PlaceReply | { type: 'unavailable', detail: string }, isLast: boolean) => void
 
+/** Learned speeds of the workers of a shard. */
+export interface ShardSpeeds extends SpeedSummary {
+  shard: ServiceShard
+  /** Slots of the workers, those of a slow one counted by the work that it completes. */
+  room: number
+}
+
 export interface PlacementCoordinatorOptions {
   routes: IRouteTable
   registry: IWorkerRegistry
@@ -28,6 +35,8 @@
   shard: ServiceShard
   placement: ServicePlacement
   lastRequestAtMs: number
+  /** True once the log says that the speeds differ, until it says that they no longer do. */
+  isUneven: boolean
 }
 
 interface OpenRequest {
@@ -65,6 +74,15 @@
     return length
   }
 
+  /** Learned speeds of the shards that this node has coordinated lately, and their slots by the work that these complete. */
+  get speeds (): ShardSpeeds[] {
+    const nowMs = steadyNowMs()
+    return [...this._shards.values()]
+      .filter(({ lastRequestAtMs }) => nowMs - lastRequestAtMs < TAKEOVER_PAUSE_MS)
+      .map(({ shard, placement }) => ({ ...placement.speedSummary(nowMs), shard, room: placement.roomOf(this._serviceOf(shard), nowMs) }))
+      .filter(({ meanMs }) => meanMs > 0)
+  }
+
   /** Keys of the shards with rate limits that this node has coordinated lately. */
   get rateLimitedShards (): string[] {
     const nowMs = steadyNowMs()
@@ -121,7 +139,7 @@
     const key = shardKeyOf(shard)
     const known = this._shards.get(key)
     if (known !== undefined && nowMs - known.lastRequestAtMs < TAKEOVER_PAUSE_MS) return known
-    const state = known ?? { shard, placement: new ServicePlacement(this._options.random), lastRequestAtMs: nowMs }
+    const state = known ?? { shard, placement: new ServicePlacement(this._options.random), lastRequestAtMs: nowMs, isUneven: false }
     this._shards.set(key, state)
     state.placement.adoptLoad(Object.fromEntries(workers.map(({ workerId }) => [workerId, this._options.statistics.inFlightOf(workerId)])), nowMs)
     this._options.write('placementCoordinated', { service: shard.service, shard: shard.index, shards: shard.count, workers: workers.length })
@@ -131,10 +149,13 @@
   private _serviceOf (shard: ServiceShard): PlacementService {
     const { service, index, count } = shard
     const workers = this._options.registry.workersOf(service, steadyNowMs()).filter(({ workerId }) => shardIndexOf(workerId, count) === index)
+    const engine = this._options.routes.findService(service)?.engine
     return {
       workers,
-      cacheTokens: this._options.routes.findService(service)?.engine?.kvTokensCapacity ?? Number.POSITIVE_INFINITY,
-      ratesPerS: this._ratesOf(workers, shardKeyOf(shard))
+      cacheTokens: engine?.kvTokensCapacity ?? Number.POSITIVE_INFINITY,
+      ratesPerS: this._ratesOf(workers, shardKeyOf(shard)),
+      tokensPerEvent: engine?.tokensPerEvent,
+      limitsTokens: engine !== undefined && this._options.routes.accounts !== undefined
     }
   }
 
@@ -173,9 +194,24 @@
     this._queueTimer = undefined
   }
 
+  /** Writes a log line when the workers of a shard begin or cease to count as uneven. */
+  private _reportSpeeds (state: Shard): void {
+    const { isUneven, fastestMs, slowestMs, meanMs } = state.placement.speedSummary(steadyNowMs())
+    if (isUneven === state.isUneven) return
+    state.isUneven = isUneven
+    const { service, index } = state.shard
+    this._options.write('workerSpeedsChanged', { service, shard: index, isUneven, fastestTokenMs: round(fastestMs), slowestTokenMs: round(slowestMs), meanTokenMs: round(meanMs) })
+  }
+
   private _removeExpired (): void {
-    for (const { placement } of this._shards.values()) {
+    for (const state of this._shards.values()) {
+      const { placement } = state
+      this._reportSpeeds(state)
       for (const placementId of placement.removeExpired(steadyNowMs())) this._openRequests.delete(placementId)
     }
   }
 }
+
+function round (valueMs: number): number {
+  return Math.round(valueMs * 1_000) / 1_000
+}
--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -323,7 +323,8 @@
     }
     this._sentCount++
     this._endSuspectTurn(this._relay.provesService ? SuspectTurnEnd.Served : SuspectTurnEnd.NotHarmed)
-    this._latestAttempt?.recordAnswer(this._relay.status, Math.max(1, this._relay.eventCount))
+    const eventTimes = this._latestAttempt === undefined || !this._relay.isStream ? undefined : this._relay.eventTimesSince(this._latestAttempt.startedMs)
+    this._latestAttempt?.recordAnswer(this._relay.status, Math.max(1, this._relay.eventCount), eventTimes)
     if (this._relay.provesService) this._dependencies.poisonRequestDetector.recordServed(this._request)
     else if (!this._relay.isSelfDelimiting) this._latestAttempt?.watchWorker()
     this._relay.endAttempt(() => {
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -1,5 +1,5 @@
 /** One attempt to have a worker run a request; updates the worker's statistics with its result. */
-import { AttemptOutcome, type PlacementEnd, type Route, type WorkerRegistration } from '@trefoilshunt/core'
+import { AttemptOutcome, type EventTimes, type PlacementEnd, type Route, type WorkerRegistration } from '@trefoilshunt/core'
 import type { CallFailure, IOpenWorkerCall, IWorkerCallListener, WorkerCall } from '../../common/routed/workerClient.js'
 import type { RoutedRequest } from '../../common/routed/routedRequest.js'
 import { steadyNowMs } from '../steadyClock.js'
@@ -63,6 +63,11 @@
     })
   }
 
+  /** Steady time at which the attempt began. */
+  get startedMs (): number {
+    return this._startedMs
+  }
+
   get worker (): WorkerRegistration {
     return this._options.worker
   }
@@ -101,14 +106,14 @@
     else this._openCall?.resume()
   }
 
-  /** Records a complete answer in the statistics. `events` is the number of events of a stream, 1 for other answers. */
-  recordAnswer (status: number, events: number): void {
+  /** Records a complete answer in the statistics. `events` is the number of events of a stream, 1 for other answers; `eventTimes` are known if the attempt brought a whole stream. */
+  recordAnswer (status: number, events: number, eventTimes?: EventTimes): void {
     const { durations } = this._options.dependencies
     if (status >= FIRST_SERVER_ERROR_STATUS) {
       this._recordFailure(ANSWERED_SEVERITY)
       this._end()
     } else {
-      this._end(durations.record(this._options.route, steadyNowMs() - this._startedMs, events))
+      this._end(durations.record(this._options.route, steadyNowMs() - this._startedMs, events), eventTimes)
     }
   }
 
@@ -147,11 +152,13 @@
     void poisonRequestDetector.handleUnanswered({ request, worker, sentAtMs: this._startedMs, isBroken, open: this._openRequest })
   }
 
-  private _end (durationRatio?: number): void {
+  private _end (durationRatio?: number, eventTimes?: EventTimes): void {
     clearTimeout(this._noResponseTimer)
     if (this._openRequest.watchedUntilMs === undefined) this._options.dependencies.openRequests.end(this._openRequest)
     this._options.dependencies.statistics.endRequest(this.worker.workerId, durationRatio)
-    this._options.onReleased?.({ durationRatio, failureSeverity: this._failureSeverity === 0 ? undefined : this._failureSeverity })
+    const end: PlacementEnd = { durationRatio, failureSeverity: this._failureSeverity === 0 ? undefined : this._failureSeverity }
+    if (eventTimes !== undefined) end.eventTimes = eventTimes
+    this._options.onReleased?.(end)
   }
 
   private _recordFailure (severity: number): void {
--- a/packages/node/test/node/routed/answerRelay.test.ts
+++ b/packages/node/test/node/routed/answerRelay.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert'
 import type { IAnswerSink } from '@trefoilshunt/node/routed'
 import { AnswerRelay } from '../../../src/node/routed/answerRelay.js'
+import { steadyNowMs } from '../../../src/node/steadyClock.js'
 import { HeldBytes } from '../../../src/node/routed/heldBytes.js'
 
 class RecordingSink implements IAnswerSink {
@@ -141,4 +142,33 @@
   assert.is(heldBytes.byteCount, 0)
 })
 
+// Guards against speeds of workers that are learned from what slow callers, or other attempts, took.
+test('the times of events are known for a whole stream only, and not after reading was paused', () => {
+  const createRelay = (lastEventId?: string): { relay: AnswerRelay, sink: RecordingSink } => {
+    const sink = new RecordingSink()
+    const relay = new AnswerRelay(sink, { lastEventId })
+    relay.beginAttempt()
+    relay.handleHead(STREAM_HEAD)
+    return { relay, sink }
+  }
+  const whole = createRelay()
+  assert.is(whole.relay.eventTimesSince(0), undefined, 'no event has arrived')
+  const sentAtMs = steadyNowMs()
+  for (const id of [1, 2, 3]) whole.relay.handleData(Buffer.from(`id: ${id}\ndata: x\n\n`))
+  const times = whole.relay.eventTimesSince(sentAtMs)
+  assert.ok(times !== undefined && times[0] >= 0 && times[1] >= 0 && times[2] === 3, String(times))
+  whole.sink.isFull = true
+  whole.relay.handleData(Buffer.from('id: 4\ndata: x\n\n'))
+  assert.is(whole.relay.eventTimesSince(sentAtMs), undefined)
+  const resumed = createRelay('2')
+  resumed.relay.handleData(Buffer.from('id: 3\ndata: x\n\n'))
+  assert.is(resumed.relay.eventTimesSince(sentAtMs), undefined)
+  const second = createRelay()
+  second.relay.handleData(Buffer.from('id: 1\ndata: x\n\n'))
+  second.relay.beginAttempt()
+  second.relay.handleHead(STREAM_HEAD)
+  second.relay.handleData(Buffer.from('id: 2\ndata: x\n\n'))
+  assert.is(second.relay.eventTimesSince(sentAtMs), undefined)
+})
+
 test.run()
