Measure plain workers that look slow again

Cause: a worker that answered slowly once kept its average as long as another was idle, since only requests change it. Change: after 0.6 s without requests, a slow worker is chosen once as if it were of ordinary speed, and the duration replaces its average; each measurement in a row that finds it slow doubles the time, up to 4.8 s. So a stall is told from lasting slowness, and one request at a time is spent on it. Tests: a worker that stalls for 0.6 s is back by 1.3 s; one that stays slow gets 3 to 6 of 500 requests in 10 s.

--- a/packages/core/src/common/workers/servicePlacement.ts
+++ b/packages/core/src/common/workers/servicePlacement.ts
@@ -289,7 +289,7 @@
     this._tokens.begin(workerId, prompt, outputTokens)
     this._open.set(request.placementId, { workerId, startedAtMs, readTokens, prompt, outputTokens, inFlight, slots, programId: request.programId, expiresAtMs: nowMs + request.timeLeftMs + this._options.releaseGraceMs })
     if (ratesPerS.has(workerId)) this._rates.take(workerId, nowMs)
-    this._statistics.beginRequest(workerId)
+    this._statistics.beginRequest(workerId, nowMs)
     this._statistics.recordPrompt(workerId, request.prompt, cacheTokens)
     this._programs.beginTurn(request.programId, nowMs)
     return { type: 'placed', placementId: request.placementId, workerId }
@@ -347,7 +347,7 @@
   private _close (placementId: string, { workerId, programId, prompt, outputTokens }: OpenPlacement, nowMs: number, durationRatio?: number): void {
     this._open.delete(placementId)
     this._tokens.end(workerId, prompt, outputTokens)
-    this._statistics.endRequest(workerId, durationRatio)
+    this._statistics.endRequest(workerId, durationRatio, nowMs)
     this._programs.endTurn(programId, nowMs)
   }
 
--- a/packages/core/src/common/workers/workerChoice.ts
+++ b/packages/core/src/common/workers/workerChoice.ts
@@ -4,7 +4,7 @@
 import { IRandom } from '../kernel/random.js'
 import type { CachedPart, PromptPart } from '../turns/promptCacheIndex.js'
 import type { LearnedSpeeds } from './engineSpeed.js'
-import { IWorkerStatistics } from './workerStatistics.js'
+import { IWorkerStatistics, MIN_SLOWNESS } from './workerStatistics.js'
 import type { WorkerRegistration } from './workerRegistry.js'
 
 /** A routed request and the workers that may serve it. */
@@ -69,7 +69,7 @@
   connectMs: 12,
   prefixCopies: 3,
   jitterMs: 2,
-  minSlowness: 1.8,
+  minSlowness: MIN_SLOWNESS,
   failureMs: 1_500
 }
 
@@ -136,13 +136,13 @@
   }
 
   /** Without learned speeds, returns 1 below `minSlowness`, because durations also vary with the random length of answers. */
-  private _slowness (worker: WorkerRegistration, { speeds, slack, durationMs }: WorkerChoiceQuery): number {
+  private _slowness (worker: WorkerRegistration, { speeds, slack, durationMs, nowMs }: WorkerChoiceQuery): number {
     const learned = speeds?.slownessOf?.(worker.workerId)
     if (learned !== undefined) {
       const extra = learned - 1
       return extra > 0 && slack !== undefined && extra * durationMs <= slack.extraMs ? 1 + extra * slack.weight : learned
     }
-    const slowness = this._statistics.slownessOf(worker.workerId)
+    const slowness = this._statistics.slownessOf(worker.workerId, nowMs)
     return slowness < this._options.minSlowness ? 1 : slowness
   }
 
--- a/packages/core/src/common/workers/workerStatistics.ts
+++ b/packages/core/src/common/workers/workerStatistics.ts
@@ -9,11 +9,26 @@
 /** The failure rate is ignored when the last failure is older than this, so that a recovered worker gets work again. */
 const FAILURE_MEMORY_MS = 4_000
 
+/** Ratio of a worker's mean duration to the route's mean from which the worker counts as slow. */
+export const MIN_SLOWNESS = 1.8
+/**
+ * A slow worker without requests for the first time is measured again with one request. The time doubles with each measurement in a row that finds it slow: one that
+ * stalls briefly is back after the first one, one that stays slow gets few requests.
+ */
+const FIRST_REMEASURE_MS = 600
+const LAST_REMEASURE_MS = 4_800
+
 /** State of one worker; its averages cover this node's requests only. */
 interface WorkerEntry {
   /** Requests of this node in flight. */
   inFlight: number
   durationRatio: Ewma
+  /** When this node last sent a request or got an answer. */
+  lastUsedAtMs: number
+  /** When the average last changed. */
+  measuredAtMs: number
+  /** Time without requests after which a slow worker is measured again. */
+  remeasureMs: number
   failureRate: Ewma
   lastFailureAtMs: number
   /** Tokens of each prompt part that the worker has processed, the least recently used part first. */
@@ -25,9 +40,9 @@
 /** Statistics of the workers that the choice of a worker uses. */
 export interface IWorkerStatistics {
   /** Counts a request as in flight. */
-  beginRequest (workerId: string): void
+  beginRequest (workerId: string, nowMs?: number): void
   /** Ends a request. `ratio` is its duration relative to the mean of its route; undefined when it did not complete. */
-  endRequest (workerId: string, ratio?: number): void
+  endRequest (workerId: string, ratio?: number, nowMs?: number): void
   /** Adds a failure. `severity` is 1 for a lost request, less for one that was answered with a failure or refused. */
   recordFailure (workerId: string, nowMs: number, severity?: number): void
   /** Records the parts of a prompt as cached by the worker. With `cacheTokens`, the least recently used parts beyond that are removed. */
@@ -42,8 +57,8 @@
   inFlightOf (workerId: string): number
   /** This node's requests in flight by worker; workers without any are left out. */
   ownLoad (): Record<string, number>
-  /** Mean ratio of the worker's durations to the mean of their routes: 1 for a worker of ordinary speed or an unknown one, more for a slow one. */
-  slownessOf (workerId: string): number
+  /** Mean ratio of the worker's durations to the mean of their routes: 1 for a worker of ordinary speed, an unknown one, and a slow one that should be measured again, more for a slow one. */
+  slownessOf (workerId: string, nowMs: number): number
   /** Mean severity of recent requests, 0 to 1; 0 when the last failure is too old to count. */
   failureRateOf (workerId: string, nowMs: number): number
   /** Tokens of a prompt part that the worker has probably cached. */
@@ -57,15 +72,18 @@
   /** Sums of the peers' loads by worker, so that a choice among many workers need not iterate over the peers. */
   private readonly _peerLoadTotals = new Map<string, number>()
 
-  beginRequest (workerId: string): void {
-    this._resolveEntry(workerId).inFlight++
+  beginRequest (workerId: string, nowMs = 0): void {
+    const entry = this._resolveEntry(workerId)
+    entry.inFlight++
+    entry.lastUsedAtMs = nowMs
   }
 
-  endRequest (workerId: string, ratio?: number): void {
+  endRequest (workerId: string, ratio?: number, nowMs = 0): void {
     const entry = this._resolveEntry(workerId)
     entry.inFlight = Math.max(0, entry.inFlight - 1)
+    entry.lastUsedAtMs = Math.max(entry.lastUsedAtMs, nowMs)
     if (ratio === undefined) return
-    entry.durationRatio.add(ratio)
+    this._addDuration(entry, ratio, nowMs)
     entry.failureRate.add(0)
   }
 
@@ -127,8 +145,11 @@
     return load
   }
 
-  slownessOf (workerId: string): number {
-    return this._entries.get(workerId)?.durationRatio.value ?? 1
+  slownessOf (workerId: string, nowMs: number): number {
+    const entry = this._entries.get(workerId)
+    if (entry === undefined) return 1
+    const { durationRatio: { value }, lastUsedAtMs, remeasureMs } = entry
+    return value >= MIN_SLOWNESS && entry.inFlight === 0 && nowMs - lastUsedAtMs >= remeasureMs ? 1 : value
   }
 
   failureRateOf (workerId: string, nowMs: number): number {
@@ -141,6 +162,16 @@
     return this._entries.get(workerId)?.cachedParts.get(partId) ?? 0
   }
 
+  /** The first duration after a pause of a slow worker replaces its average. */
+  private _addDuration (entry: WorkerEntry, ratio: number, nowMs: number): void {
+    const isRemeasured = entry.durationRatio.value >= MIN_SLOWNESS && nowMs - entry.measuredAtMs >= entry.remeasureMs
+    if (isRemeasured) entry.durationRatio = new Ewma(SAMPLE_WEIGHT, ratio)
+    else entry.durationRatio.add(ratio)
+    entry.measuredAtMs = nowMs
+    if (entry.durationRatio.value < MIN_SLOWNESS) entry.remeasureMs = FIRST_REMEASURE_MS
+    else if (isRemeasured) entry.remeasureMs = Math.min(LAST_REMEASURE_MS, 2 * entry.remeasureMs)
+  }
+
   private _addToPeerLoadTotals (load: Readonly<Record<string, number>>, factor: 1 | -1): void {
     for (const [workerId, inFlight] of Object.entries(load)) {
       const total = (this._peerLoadTotals.get(workerId) ?? 0) + factor * inFlight
@@ -155,6 +186,9 @@
       entry = {
         inFlight: 0,
         durationRatio: new Ewma(SAMPLE_WEIGHT, 1),
+        lastUsedAtMs: 0,
+        measuredAtMs: 0,
+        remeasureMs: FIRST_REMEASURE_MS,
         failureRate: new Ewma(SAMPLE_WEIGHT, 0),
         lastFailureAtMs: Number.NEGATIVE_INFINITY,
         cachedParts: new Map(),
--- a/packages/core/test/common/workers/workers.test.ts
+++ b/packages/core/test/common/workers/workers.test.ts
@@ -134,6 +134,45 @@
   assert.is.not(choice.chooseWorker(createQuery(workers))?.workerId, first)
 })
 
+/** Sends a request of 6 ms each 20 ms; the ratio of a worker's duration depends on the time. Returns the times of the requests that `s1` got. */
+function sendTo (ratioOf: (workerId: string, nowMs: number) => number, forMs: number): number[] {
+  const statistics = new WorkerStatistics()
+  const choice = new WorkerChoice(DEFAULT_WORKER_CHOICE, statistics, new SeededRandom(1))
+  const times: number[] = []
+  for (let nowMs = 0; nowMs < forMs; nowMs += 20) {
+    const workerId = choice.chooseWorker(createQuery(['s1', 's2'].map(id => createWorker(id)), { durationMs: 6, nowMs }))?.workerId ?? ''
+    if (workerId === 's1') times.push(nowMs)
+    statistics.beginRequest(workerId, nowMs)
+    statistics.endRequest(workerId, ratioOf(workerId, nowMs), nowMs + 6)
+  }
+  return times
+}
+
+test('a plain worker that stalled once gets requests again soon, although another is idle', () => {
+  const times = sendTo((workerId, nowMs) => workerId === 's1' && nowMs < 600 ? 12 : 1, 4_000)
+  const again = times.filter(atMs => atMs >= 600)
+  assert.ok(again[0] <= 1_300, `after ${again[0]} ms`)
+  assert.ok(again.length > 30, `${again.length} of 170 requests`)
+})
+
+test('a plain worker that stays slow is measured with few requests', () => {
+  const times = sendTo(workerId => workerId === 's1' ? 12 : 1, 10_000)
+  assert.ok(times.length >= 3 && times.length <= 6, times.join())
+})
+
+test('a slow worker that is measured again gets one request, not all that come before its answer', () => {
+  const statistics = new WorkerStatistics()
+  const choice = new WorkerChoice(DEFAULT_WORKER_CHOICE, statistics, new SeededRandom(1))
+  statistics.beginRequest('s1', 0)
+  statistics.endRequest('s1', 12, 10)
+  const chosen = Array.from({ length: 20 }, () => {
+    const workerId = choice.chooseWorker(createQuery(['s1', 's2'].map(id => createWorker(id, { slots: 40 })), { durationMs: 6, nowMs: 1_000 }))?.workerId ?? ''
+    statistics.beginRequest(workerId, 1_000)
+    return workerId
+  })
+  assert.is(chosen.filter(workerId => workerId === 's1').length, 1)
+})
+
 test('among equal workers one with an idle connection is preferred, unless its queue is long', () => {
   const workers = ['w0', 'w1', 'w2'].map(id => createWorker(id))
   const statistics = new WorkerStatistics()
--- a/packages/node/src/node/routed/workerAttempt.ts
+++ b/packages/node/src/node/routed/workerAttempt.ts
@@ -43,7 +43,7 @@
 
   constructor (private readonly _options: WorkerAttemptOptions) {
     const { dependencies, request, route, worker, call, isSuspect, listener } = _options
-    dependencies.statistics.beginRequest(worker.workerId)
+    dependencies.statistics.beginRequest(worker.workerId, this._startedMs)
     dependencies.statistics.recordPrompt(worker.workerId, request.prompt)
     this._openRequest = dependencies.openRequests.begin(request, worker, { sentAtMs: this._startedMs, isSuspect })
     const noResponseMs = Math.max(NO_RESPONSE_MS, NO_RESPONSE_DURATIONS * dependencies.durations.expectedMs(route))
@@ -155,7 +155,7 @@
   private _end (durationRatio?: number, eventTimes?: EventTimes): void {
     clearTimeout(this._noResponseTimer)
     if (this._openRequest.watchedUntilMs === undefined) this._options.dependencies.openRequests.end(this._openRequest)
-    this._options.dependencies.statistics.endRequest(this.worker.workerId, durationRatio)
+    this._options.dependencies.statistics.endRequest(this.worker.workerId, durationRatio, steadyNowMs())
     const end: PlacementEnd = { durationRatio, failureSeverity: this._failureSeverity === 0 ? undefined : this._failureSeverity }
     if (eventTimes !== undefined) end.eventTimes = eventTimes
     this._options.onReleased?.(end)
