--- a/packages/core/src/common/workers/engineSpeed.ts
+++ b/packages/core/src/common/workers/engineSpeed.ts
@@ -16,7 +16,7 @@
 const MIN_READ_SAMPLES = 100
 /** Share of the regression that each observation leaves; it covers about the last 500. */
 const REGRESSION_DECAY = 0.998
-/** Standard errors by which two workers must differ. With 2, equal engines of the simulated load counted as uneven at times, since reads of other prompts delay tokens. */
+/** Standard errors by which two workers must differ; reads of other prompts delay tokens, so that single times differ among equal engines. */
 const CONFIDENCE = 3
 /** Ratios of the slowest to the fastest worker, less the errors, from which a service counts as uneven, and below which no longer. */
 const UNEVEN_RATIO = 1.25
