Placement: an order of waiting requests by cost, beside the order by rank

The queue of a service was ordered by rank, progress and arrival, and programs of rank 0 began without limit, so that a flood of them made all programs late. `IPlacementOrder` holds the decision. `RankOrder` decides as before. `CostOrder` goes by rank, then requests that can still finish in time, programs in progress, the account with the fewest programs for its share, least slack and least work; rank 0 has a limit, less urgent ranks keep a share, and requests that the queue ahead keeps too long are refused at once. The work of a program follows from the time that its caller allows at its first turn. The option `placementOrder` selects; nothing uses the order by cost yet.

--- a/packages/core/src/common/workers/index.ts
+++ b/packages/core/src/common/workers/index.ts
@@ -1,3 +1,5 @@
+export * from './accountBegins.js'
+export * from './placementOrder.js'
 export * from './programsInProgress.js'
 export * from './requestRates.js'
 export * from './servicePlacement.js'
--- a/packages/core/src/common/workers/programsInProgress.ts
+++ b/packages/core/src/common/workers/programsInProgress.ts
@@ -1,10 +1,17 @@
 /** Programs whose turns a service has seen lately. */
+import { Ewma } from '../base/ewma.js'
+import { AccountBegins } from './accountBegins.js'
+
+/** Weight of a new program in the mean work of programs; the mean covers about the last hundred. */
+const WORK_SAMPLE_WEIGHT = 0.02
 
 export interface ProgramsInProgressOptions {
   /** A program that pauses between two turns counts as in progress for this long. */
   pauseMs: number
   /** A program without a turn for this long has ended. */
   memoryMs: number
+  /** Callers allow a program this multiple of its time on idle workers, plus its objective, to finish. */
+  aimRatio: number
 }
 
 /** A turn as far as its program is concerned. */
@@ -13,9 +20,23 @@
   programId?: string
   /** Time until the program should be finished, if known. */
   finishMs?: number
+  account?: string
+  priority: number
+  objectiveMs: number
+  /** Expected duration of the turn on an idle worker. */
+  durationMs: number
 }
 
 interface KnownProgram {
+  account: string | undefined
+  priority: number
+  /** Time that the program needs from its first turn to its end, without waits for a slot. */
+  workMs: number
+  firstAtMs: number
+  /** Time that the program has spent waiting for slots, refusals included. */
+  lostMs: number
+  /** Since when a turn of the program waits for a slot; absent while none does. */
+  waitingSinceMs: number | undefined
   openTurns: number
   hasBegun: boolean
   lastAtMs: number
@@ -28,21 +49,34 @@
  *
  * @example
  * programs.observe(turn, nowMs)
- * programs.beginTurn('p1', nowMs)
+ * programs.beginTurn(turn, nowMs)
  * programs.endTurn('p1', nowMs)
  * programs.pausingCount(nowMs) // 1
  */
 export class ProgramsInProgress {
   private readonly _programs = new Map<string, KnownProgram>()
+  private readonly _begins = new AccountBegins()
+  private _meanWork: Ewma | undefined
 
   constructor (private readonly _options: ProgramsInProgressOptions) {}
 
   /** Must be called for each turn before it begins. */
-  observe ({ programId, finishMs }: ProgramTurn, nowMs: number): void {
-    if (programId === undefined) return
+  observe (turn: ProgramTurn, nowMs: number): void {
+    const { programId, finishMs, account, priority, objectiveMs, durationMs } = turn
+    if (programId === undefined) {
+      this._begins.recordAsked(account, nowMs)
+      return
+    }
     const known = this._find(programId, nowMs)
-    if (known !== undefined) known.lastAtMs = nowMs
-    else this._programs.set(programId, { openTurns: 0, hasBegun: false, lastAtMs: nowMs, firstFinishMs: finishMs })
+    if (known !== undefined) {
+      known.lastAtMs = nowMs
+      known.waitingSinceMs ??= nowMs
+      return
+    }
+    // The caller sets the finish from the program's time on idle workers, so that this time follows from it.
+    const workMs = Math.max(durationMs, ((finishMs ?? 0) - objectiveMs) / this._options.aimRatio)
+    this._begins.recordAsked(account, nowMs)
+    this._programs.set(programId, { account, priority, workMs, firstAtMs: nowMs, lostMs: 0, waitingSinceMs: nowMs, openTurns: 0, hasBegun: false, lastAtMs: nowMs, firstFinishMs: finishMs })
   }
 
   /** True if a turn of the program has begun. */
@@ -51,14 +85,22 @@
   }
 
   /** Time for which the program has waited since its first turn was seen; 0 if unknown. */
-  waitedMs ({ programId, finishMs }: ProgramTurn, nowMs: number): number {
+  waitedMs ({ programId, finishMs }: Pick<ProgramTurn, 'programId' | 'finishMs'>, nowMs: number): number {
     const firstFinishMs = this._find(programId, nowMs)?.firstFinishMs
     return firstFinishMs === undefined || finishMs === undefined ? 0 : firstFinishMs - finishMs
   }
 
-  beginTurn (programId: string | undefined, nowMs: number): void {
+  beginTurn ({ programId, account }: Pick<ProgramTurn, 'programId' | 'account'>, nowMs: number): void {
+    if (programId === undefined) this._begins.recordBegun(account, nowMs)
     const known = this._find(programId, nowMs)
     if (known === undefined) return
+    if (!known.hasBegun) {
+      this._begins.recordBegun(known.account, nowMs)
+      this._meanWork ??= new Ewma(WORK_SAMPLE_WEIGHT, known.workMs)
+      this._meanWork.add(known.workMs)
+    }
+    if (known.waitingSinceMs !== undefined) known.lostMs += nowMs - known.waitingSinceMs
+    known.waitingSinceMs = undefined
     known.openTurns++
     known.hasBegun = true
     known.lastAtMs = nowMs
@@ -71,19 +113,61 @@
     known.lastAtMs = nowMs
   }
 
+  /** Mean work of the programs that began lately; 0 before the first one. */
+  get meanWorkMs (): number {
+    return this._meanWork?.value ?? 0
+  }
+
+  /** Time that the program of a waiting turn needs to finish, without waits for a slot; of the turn alone if the program is unknown. */
+  remainingMs ({ programId, durationMs }: Pick<ProgramTurn, 'programId' | 'durationMs'>, nowMs: number): number {
+    const known = this._find(programId, nowMs)
+    if (known === undefined) return durationMs
+    const waitingMs = nowMs - (known.waitingSinceMs ?? nowMs)
+    const doneMs = nowMs - known.firstAtMs - known.lostMs - waitingMs
+    return Math.max(durationMs, known.workMs - doneMs)
+  }
+
   /** Programs between two turns. */
   pausingCount (nowMs: number): number {
     let count = 0
-    for (const { hasBegun, openTurns, lastAtMs } of this._programs.values()) {
-      if (hasBegun && openTurns === 0 && nowMs - lastAtMs < this._options.pauseMs) count++
+    for (const known of this._programs.values()) {
+      if (known.openTurns === 0 && this._isRunning(known, nowMs)) count++
     }
     return count
   }
 
+  /** Programs of the rank with an open turn or between two turns. */
+  runningOfRank (priority: number, nowMs: number): number {
+    let count = 0
+    for (const known of this._programs.values()) {
+      if (known.priority === priority && this._isRunning(known, nowMs)) count++
+    }
+    return count
+  }
+
+  /** Programs with an open turn or between two turns, by account. */
+  runningByAccount (nowMs: number): Map<string, number> {
+    const counts = new Map<string, number>()
+    for (const known of this._programs.values()) {
+      if (known.account !== undefined && this._isRunning(known, nowMs)) counts.set(known.account, (counts.get(known.account) ?? 0) + 1)
+    }
+    return counts
+  }
+
+  /** How often the programs of the account began lately, relative to those of all accounts; 1 if none was seen. */
+  servedRatioOf (account: string, nowMs: number): number {
+    return this._begins.servedRatioOf(account, nowMs)
+  }
+
   removeEnded (nowMs: number): void {
     for (const programId of this._programs.keys()) {
       if (this._find(programId, nowMs) === undefined) this._programs.delete(programId)
     }
+    this._begins.removeOld(nowMs)
+  }
+
+  private _isRunning ({ hasBegun, openTurns, lastAtMs }: KnownProgram, nowMs: number): boolean {
+    return hasBegun && (openTurns > 0 || nowMs - lastAtMs < this._options.pauseMs)
   }
 
   private _find (programId: string | undefined, nowMs: number): KnownProgram | undefined {
--- a/packages/core/src/common/workers/servicePlacement.ts
+++ b/packages/core/src/common/workers/servicePlacement.ts
@@ -1,6 +1,7 @@
 /** Assigns the requests of a service to its workers at the one node that knows all of them, with a queue while no slot is free. */
 import type { CachedPart, PromptPart } from '../turns/promptCacheIndex.js'
 import type { IRandom } from '../kernel/random.js'
+import { CostOrder, type IPlacementOrder, PlacementOrder, type PlacementSituation, type QueueAhead, RankOrder, RefusalReason, type WaitingRequest } from './placementOrder.js'
 import { ProgramsInProgress, type ProgramsInProgressOptions } from './programsInProgress.js'
 import { RequestRates, timeForRequestsMs } from './requestRates.js'
 import { DEFAULT_WORKER_CHOICE, WorkerChoice } from './workerChoice.js'
@@ -13,6 +14,8 @@
   placementId: string
   /** Absent for requests that belong to no program. */
   programId?: string
+  /** Client account of the request; absent without accounts. */
+  account?: string
   /** True if the program has completed a turn; its first turns may be refused to protect those in progress. */
   hasBegun: boolean
   /** Rank of the route; 0 is the most urgent. */
@@ -48,13 +51,21 @@
 export type SlotPlacement =
   | { type: 'placed', placementId: string, workerId: string }
   /** Not placed, and not going to be. */
-  | { type: 'refused', placementId: string, retryAfterMs: number }
+  | { type: 'refused', placementId: string, retryAfterMs: number, reason: RefusalReason }
 
 export interface ServicePlacementOptions extends ProgramsInProgressOptions {
   /** Programs of a rank below the most urgent one begin only while the programs in progress, and their parallel turns, are fewer than this multiple of the slots. */
   maxProgramsPerSlot: number
   /** The same for programs that have waited so long for their first turn that they can hardly finish in time. */
   maxProgramsPerSlotIfDelayed: number
+  /** What goes first and what is refused. */
+  placementOrder: PlacementOrder
+  /** By cost, programs of rank 0 begin only while the programs in progress are fewer than this multiple of the slots. */
+  maxUrgentProgramsPerSlot: number
+  /** By cost, each less urgent rank may have programs in progress on this share of the slots, whatever the more urgent ones need. */
+  lessUrgentShare: number
+  /** By cost, an account whose programs begin less often than this multiple of all accounts' goes first. */
+  minServedRatio: number
   /** Requests that a worker gets beyond its slots. While they wait there, their prompts stay where they are cached. */
   queuePerWorker: number
   /** Longest wait of a program's first turn, as a share of its objective. */
@@ -76,6 +87,14 @@
 export const DEFAULT_SERVICE_PLACEMENT: ServicePlacementOptions = {
   maxProgramsPerSlot: 1.2,
   maxProgramsPerSlotIfDelayed: 0.9,
+  placementOrder: PlacementOrder.Auto,
+  // With this many programs for each slot, each takes up to 1.4 times its time on idle workers, which is what callers allow for the finish.
+  maxUrgentProgramsPerSlot: 1.4,
+  // Less than the share of slots that the more urgent rank keeps in any flood, so that no rank is served less often than a less urgent one.
+  lessUrgentShare: 0.1,
+  // Accounts must not be served less than a quarter as often as all; the rest is a margin for the delay of the counts.
+  minServedRatio: 0.35,
+  aimRatio: 1.4,
   pauseMs: 400,
   queuePerWorker: 2,
   beginWaitShare: 0.25,
@@ -95,14 +114,10 @@
   cacheTokens: number
   /** Requests per second that workers with a rate limit may get from here. */
   ratesPerS: ReadonlyMap<string, number>
-}
-
-interface QueuedRequest {
-  request: PlacementRequest
-  isBegun: boolean
-  isDelayed: boolean
-  untilMs: number
-  order: number
+  /** True if `PlacementOrder.Auto` means the order by cost for this service. */
+  isOrderedByCost?: boolean
+  /** Share of an account in the workers, relative to those of others; equal for all if absent. */
+  shareOf?: (account: string) => number
 }
 
 interface OpenPlacement {
@@ -127,15 +142,19 @@
   private readonly _open = new Map<string, OpenPlacement>()
   private readonly _programs: ProgramsInProgress
   private readonly _rates = new RequestRates()
+  private readonly _rankOrder: IPlacementOrder
+  private readonly _costOrder: IPlacementOrder
   /** Time to return that the last refusal named while the rate limits bound; later ones follow at the rate of the workers. */
   private _lastReturnAtMs = Number.NEGATIVE_INFINITY
-  private _queue: QueuedRequest[] = []
+  private _queue: WaitingRequest[] = []
   private _lastOrder = 0
   private _adoptedLoad: Readonly<Record<string, number>> = {}
   private _adoptedAtMs = Number.NEGATIVE_INFINITY
 
   constructor (private readonly _random: IRandom, private readonly _options: ServicePlacementOptions = DEFAULT_SERVICE_PLACEMENT) {
     this._programs = new ProgramsInProgress(_options)
+    this._rankOrder = new RankOrder(_options)
+    this._costOrder = new CostOrder(_options, this._programs)
     // The caches are known here, so one worker is enough to begin with a shared prompt; further copies follow from load.
     this._choice = new WorkerChoice({ ...DEFAULT_WORKER_CHOICE, prefixCopies: 1 }, this._statistics, _random)
   }
@@ -158,10 +177,8 @@
   /** Queues the request and returns the decisions that follow; a later call of `release` or `decideQueued` returns its own if they hold none. */
   place (request: PlacementRequest, service: PlacementService, nowMs: number): SlotPlacement[] {
     this._updateAdoptedLoad(nowMs)
-    const queued = this._createQueued(request, nowMs)
-    const index = this._queue.findIndex(other => compareQueued(queued, other) < 0)
-    if (index < 0) this._queue.push(queued)
-    else this._queue.splice(index, 0, queued)
+    const order = this._orderOf(service)
+    order.insert(this._queue, this._createWaiting(request, order, nowMs))
     return this.decideQueued(service, nowMs)
   }
 
@@ -181,21 +198,26 @@
   decideQueued (service: PlacementService, nowMs: number): SlotPlacement[] {
     this._updateAdoptedLoad(nowMs)
     const decided: SlotPlacement[] = []
-    const remaining: QueuedRequest[] = []
-    let free = this._queue.length === 0 ? 0 : this._freeSlots(service)
-    const slots = service.workers.reduce((total, worker) => total + worker.slots, 0)
-    let programs = this._queue.every(isAlwaysAdmitted) ? 0 : this._programCount(nowMs)
-    for (const queued of this._queue) {
-      const mayBegin = isAlwaysAdmitted(queued) || programs < slots * this._maxProgramsPerSlot(queued)
-      const placement = free > 0 && mayBegin ? this._placeNow(queued.request, service, nowMs) : undefined
+    if (this._queue.length === 0) return decided
+    const order = this._orderOf(service)
+    const remaining: WaitingRequest[] = []
+    const ahead = new QueueCounts()
+    let free = this._freeSlots(service)
+    const situation = this._createSituation(service, free > 0, nowMs)
+    if (free > 0) order.sort(this._queue, situation)
+    for (const waiting of this._queue) {
+      const mayBegin = free > 0 && order.mayBegin(waiting, situation)
+      const placement = mayBegin ? this._placeNow(waiting.request, service, nowMs) : undefined
+      const reason = placement === undefined ? this._refusalOf(waiting, order, ahead.before(waiting), service, situation) : undefined
       if (placement !== undefined) {
         free--
-        if (!queued.isBegun) programs++
+        if (!waiting.isBegun) situation.begin(waiting)
         decided.push(placement)
-      } else if (this._isTooLate(queued, remaining.length, service, nowMs)) {
-        decided.push({ type: 'refused', placementId: queued.request.placementId, retryAfterMs: this._resolveRetryAfterMs(remaining.length, service, nowMs) })
+      } else if (reason !== undefined) {
+        decided.push({ type: 'refused', placementId: waiting.request.placementId, retryAfterMs: this._resolveRetryAfterMs(remaining.length, service, nowMs), reason })
       } else {
-        remaining.push(queued)
+        ahead.add(waiting)
+        remaining.push(waiting)
       }
     }
     this._queue = remaining
@@ -234,7 +256,7 @@
     if (ratesPerS.has(workerId)) this._rates.take(workerId, nowMs)
     this._statistics.beginRequest(workerId)
     this._statistics.recordPrompt(workerId, request.prompt, cacheTokens)
-    this._programs.beginTurn(request.programId, nowMs)
+    this._programs.beginTurn(request, nowMs)
     return { type: 'placed', placementId: request.placementId, workerId }
   }
 
@@ -251,25 +273,33 @@
     this._programs.endTurn(programId, nowMs)
   }
 
-  private _createQueued (request: PlacementRequest, nowMs: number): QueuedRequest {
+  private _orderOf ({ isOrderedByCost = false }: PlacementService): IPlacementOrder {
+    const { placementOrder } = this._options
+    return placementOrder === PlacementOrder.Cost || (placementOrder === PlacementOrder.Auto && isOrderedByCost) ? this._costOrder : this._rankOrder
+  }
+
+  private _createWaiting (request: PlacementRequest, order: IPlacementOrder, nowMs: number): WaitingRequest {
     this._programs.observe(request, nowMs)
     const isBegun = request.hasBegun || this._programs.hasBegun(request.programId, nowMs)
     const isDelayed = !isBegun && this._programs.waitedMs(request, nowMs) > request.objectiveMs
     const { maxWaitMs, beginWaitShare } = this._options
-    // A delayed program can only be late, so a place in the queue serves it better than another refusal.
-    const mayWait = isAlwaysAdmitted({ request, isBegun }) || isDelayed
-    const waitMs = mayWait ? Math.min(maxWaitMs, request.timeLeftMs - request.durationMs) : request.objectiveMs * beginWaitShare
-    return { request, isBegun, isDelayed, untilMs: nowMs + waitMs, order: ++this._lastOrder }
+    const waitMs = order.mayWaitLong({ request, isBegun, isDelayed }) ? Math.min(maxWaitMs, request.timeLeftMs - request.durationMs) : request.objectiveMs * beginWaitShare
+    const workMs = this._programs.remainingMs(request, nowMs)
+    const latestStartMs = nowMs + (request.finishMs ?? request.timeLeftMs) - workMs
+    return { request, isBegun, isDelayed, queuedAtMs: nowMs, untilMs: nowMs + waitMs, workMs, latestStartMs, order: ++this._lastOrder }
   }
 
-  /** Programs in progress with their parallel turns. */
-  private _programCount (nowMs: number): number {
-    return this._open.size + this._programs.pausingCount(nowMs) + this._queue.filter(({ isBegun }) => isBegun).length
-  }
-
-  private _maxProgramsPerSlot ({ isDelayed }: QueuedRequest): number {
-    const { maxProgramsPerSlot, maxProgramsPerSlotIfDelayed } = this._options
-    return isDelayed ? maxProgramsPerSlotIfDelayed : maxProgramsPerSlot
+  private _createSituation ({ workers, shareOf = () => 1 }: PlacementService, hasFreeSlot: boolean, nowMs: number): OpenSituation {
+    const begun = this._queue.filter(({ isBegun }) => isBegun).length
+    const mayBegin = hasFreeSlot && begun < this._queue.length
+    return new OpenSituation({
+      nowMs,
+      slots: workers.reduce((total, worker) => total + worker.slots, 0),
+      // Not needed, and not counted, if no program can begin.
+      programCount: mayBegin ? this._open.size + this._programs.pausingCount(nowMs) + begun : 0,
+      programsOfRank: priority => this._programs.runningOfRank(priority, nowMs),
+      shareOf
+    })
   }
 
   private _freeSlots ({ workers }: PlacementService): number {
@@ -286,10 +316,14 @@
     this._statistics.setPeerLoad(ADOPTED_LOAD, Object.fromEntries(entries))
   }
 
-  /** True if no worker will take the request before its wait is over. */
-  private _isTooLate ({ request, untilMs }: QueuedRequest, queuedCount: number, service: PlacementService, nowMs: number): boolean {
-    if (!service.workers.some(worker => isOfVersion(worker, request))) return true
-    return nowMs + this._rateWaitMs(queuedCount, service) >= untilMs
+  /** Why no worker will take the request before its wait is over; undefined if one may. */
+  private _refusalOf (waiting: WaitingRequest, order: IPlacementOrder, ahead: QueueAhead, service: PlacementService, situation: PlacementSituation): RefusalReason | undefined {
+    const { request, untilMs } = waiting
+    const { nowMs } = situation
+    if (!service.workers.some(worker => isOfVersion(worker, request))) return RefusalReason.NoWorker
+    if (nowMs >= untilMs) return untilMs < waiting.queuedAtMs ? RefusalReason.Deadline : RefusalReason.Waited
+    const waitMs = Math.max(this._rateWaitMs(ahead.count, service), order.expectedWaitMs(waiting, ahead, situation))
+    return nowMs + waitMs >= untilMs ? RefusalReason.QueueAhead : undefined
   }
 
   /** Time until the workers may take a request that has `queuedCount` others before it; 0 while a worker has no rate limit. */
@@ -310,21 +344,51 @@
   }
 }
 
-function isAlwaysAdmitted ({ request, isBegun }: Pick<QueuedRequest, 'request' | 'isBegun'>): boolean {
-  return isBegun || request.priority === 0
-}
+/** A situation in which programs begin one after the other. */
+class OpenSituation implements PlacementSituation {
+  readonly nowMs: number
+  readonly slots: number
+  readonly shareOf: (account: string) => number
+  programCount: number
+  private readonly _countsByRank = new Map<number, number>()
+
+  constructor (private readonly _initial: PlacementSituation) {
+    this.nowMs = _initial.nowMs
+    this.slots = _initial.slots
+    this.shareOf = _initial.shareOf
+    this.programCount = _initial.programCount
+  }
+
+  // All programs are iterated over, so the count is kept for the requests that follow.
+  readonly programsOfRank = (priority: number): number => {
+    const known = this._countsByRank.get(priority) ?? this._initial.programsOfRank(priority)
+    this._countsByRank.set(priority, known)
+    return known
+  }
 
-/** Negative if `left` is placed first: by rank, then programs that can still finish in time, then those in progress, then those that were not delayed, then in order of arrival. */
-function compareQueued (left: QueuedRequest, right: QueuedRequest): number {
-  return left.request.priority - right.request.priority ||
-    Number(isLate(left.request)) - Number(isLate(right.request)) ||
-    Number(right.isBegun) - Number(left.isBegun) ||
-    Number(left.isDelayed) - Number(right.isDelayed) ||
-    left.order - right.order
+  begin ({ request: { priority } }: WaitingRequest): void {
+    this.programCount++
+    const known = this._countsByRank.get(priority)
+    if (known !== undefined) this._countsByRank.set(priority, known + 1)
+  }
 }
 
-function isLate ({ finishMs, durationMs }: PlacementRequest): boolean {
-  return finishMs !== undefined && finishMs < durationMs
+/** Counts the requests that remain in the queue, in its order. */
+class QueueCounts {
+  private _count = 0
+  private _newCount = 0
+  private readonly _newByRank = new Map<number, number>()
+
+  add ({ request: { priority }, isBegun }: WaitingRequest): void {
+    this._count++
+    if (isBegun) return
+    this._newCount++
+    this._newByRank.set(priority, (this._newByRank.get(priority) ?? 0) + 1)
+  }
+
+  before ({ request: { priority } }: WaitingRequest): QueueAhead {
+    return { count: this._count, newCount: this._newCount, newOfRankCount: this._newByRank.get(priority) ?? 0 }
+  }
 }
 
 function isOfVersion (worker: WorkerRegistration, { softwareVersion }: PlacementRequest): boolean {
--- a/packages/core/test/common/workers/load/coordinatedPlacement.ts
+++ b/packages/core/test/common/workers/load/coordinatedPlacement.ts
@@ -1,5 +1,5 @@
 /** Nodes that request a slot of a worker from the coordinator of the service. */
-import { PromptCacheIndex, SeededRandom, ServicePlacement, type PlacementEnd, type SlotPlacement } from '@trefoilshunt/core'
+import { DEFAULT_SERVICE_PLACEMENT, PlacementOrder, PromptCacheIndex, SeededRandom, ServicePlacement, type PlacementEnd, type SlotPlacement } from '@trefoilshunt/core'
 import { drawWayMs, type SimulatedFleet } from './localPlacement.js'
 import type { StartAttempt } from './programLoad.js'
 import { GROWN_ENGINE, type EngineRequest, type SimulatedEngine } from './simulatedEngine.js'
@@ -9,9 +9,9 @@
 const DEADLINE_MS = 3_000
 const DECISION_PERIOD_MS = 20
 
-export function createCoordinatedPlacement ({ events, random, workers, engines }: SimulatedFleet): StartAttempt {
+export function createCoordinatedPlacement ({ events, random, workers, engines }: SimulatedFleet, placementOrder: PlacementOrder = PlacementOrder.Rank): StartAttempt {
   const service = { workers, cacheTokens: GROWN_ENGINE.kvTokens, ratesPerS: new Map<string, number>() }
-  const coordinator = new ServicePlacement(new SeededRandom(1))
+  const coordinator = new ServicePlacement(new SeededRandom(1), { ...DEFAULT_SERVICE_PLACEMENT, placementOrder })
   const sessions = new PromptCacheIndex()
   const waiting = new Map<string, (placement: SlotPlacement) => void>()
   let lastId = 0
@@ -64,13 +64,14 @@
       coordinator.place({
         placementId,
         programId: attempt.programId,
+        account: attempt.account,
         hasBegun: !attempt.isFirstTurn,
         priority: attempt.priority,
         objectiveMs: attempt.objectiveMs,
         durationMs: EXPECTED_MS,
         timeLeftMs: DEADLINE_MS,
         finishMs: attempt.finishMs,
-        zone: 'a',
+        zone: attempt.zone,
         prompt,
         cached: sessions.find(prompt),
         excluded: []
--- a/packages/core/test/common/workers/load/programLoad.ts
+++ b/packages/core/test/common/workers/load/programLoad.ts
@@ -16,6 +16,10 @@
   aimRatio: number
   worth: number
   lateWorth: number
+  /** Account of a new program; absent without accounts. */
+  accountOf?: (random: IRandom) => string
+  /** Zone of the callers of a program that starts now. */
+  zoneOf?: (nowMs: number) => string
 }
 
 /** Figures of the users' sheet for harrow-lisle when grown, on a day of high load. */
@@ -42,6 +46,8 @@
 export interface TurnAttempt {
   programId: string
   className: string
+  account?: string
+  zone: string
   priority: number
   objectiveMs: number
   isFirstTurn: boolean
@@ -70,6 +76,8 @@
 interface Program {
   id: string
   class: ProgramClass
+  account?: string
+  zone: string
   shared: PromptPart
   startedAtMs: number
   idleMs: number
@@ -87,6 +95,8 @@
 
 export class ProgramLoad {
   private readonly _results = new Map<string, ClassResult>()
+  /** Programs by account, and how many of them ended in aim. */
+  readonly byAccount = new Map<string, { programs: number, inAim: number }>()
   private _lastId = 0
 
   constructor (
@@ -115,6 +125,8 @@
     const program: Program = {
       id: `p${++this._lastId}`,
       class: programClass,
+      account: programClass.accountOf?.(this._random),
+      zone: programClass.zoneOf?.(this._events.nowMs()) ?? 'a',
       shared: this._drawSharedPrompt(programClass),
       startedAtMs: this._events.nowMs(),
       idleMs,
@@ -204,6 +216,8 @@
     const cancel = this._startAttempt({
       programId: program.id,
       className: program.class.name,
+      account: program.account,
+      zone: program.zone,
       priority: program.class.priority,
       objectiveMs: program.class.objectiveMs,
       isFirstTurn: program.completedTurns === 0,
@@ -237,6 +251,11 @@
     if (!isComplete || tookMs > 2 * program.aimMs) result.failed++
     else if (tookMs <= program.aimMs) result.inAim++
     else result.late++
+    if (program.account !== undefined) {
+      const counts = this.byAccount.get(program.account) ?? { programs: 0, inAim: 0 }
+      const isInAim = isComplete && tookMs <= program.aimMs
+      this.byAccount.set(program.account, { programs: counts.programs + 1, inAim: counts.inAim + Number(isInAim) })
+    }
     const { worth, lateWorth } = program.class
     result.earnedShare = (result.inAim * worth + result.late * lateWorth) / (result.programs * worth)
   }
