Placement: the coordinator orders by cost where the document has client accounts

The order by cost was not used. The setting `placementOrder` (rank, cost, auto; default auto) selects it; auto means by cost where the active document has client accounts or the predicate `isUneven` holds (false until speeds are learned). Requests carry their account to the coordinator, which takes the rate of the quota as the account's share. A refusal names its reason in the log line `slotNotAssigned` and in the counter `placements_refused_total` by rank and reason; the gauge `account_programs` counts programs in progress of the eight accounts with the most. Without accounts nothing is added to any message.

--- a/packages/core/src/common/workers/placementOrder.ts
+++ b/packages/core/src/common/workers/placementOrder.ts
@@ -11,7 +11,7 @@
 export type PlacementOrder = typeof PlacementOrder[keyof typeof PlacementOrder]
 
 /** Why a request was refused. */
-export const RefusalReason = {
+export const PlacementRefusalReason = {
   /** No worker serves the request's software version. */
   NoWorker: 'noWorker',
   /** It has waited as long as it may. */
@@ -21,7 +21,7 @@
   /** Its deadline is closer than the shortest answer. */
   Deadline: 'deadline'
 } as const
-export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason]
+export type PlacementRefusalReason = typeof PlacementRefusalReason[keyof typeof PlacementRefusalReason]
 
 /** A request without a slot. */
 export interface WaitingRequest {
--- a/packages/core/src/common/workers/servicePlacement.ts
+++ b/packages/core/src/common/workers/servicePlacement.ts
@@ -1,7 +1,7 @@
 /** Assigns the requests of a service to its workers at the one node that knows all of them, with a queue while no slot is free. */
 import type { CachedPart, PromptPart } from '../turns/promptCacheIndex.js'
 import type { IRandom } from '../kernel/random.js'
-import { CostOrder, type IPlacementOrder, PlacementOrder, type PlacementSituation, type QueueAhead, RankOrder, RefusalReason, type WaitingRequest } from './placementOrder.js'
+import { CostOrder, type IPlacementOrder, PlacementOrder, type PlacementSituation, type QueueAhead, RankOrder, PlacementRefusalReason, type WaitingRequest } from './placementOrder.js'
 import { ProgramsInProgress, type ProgramsInProgressOptions } from './programsInProgress.js'
 import { RequestRates, timeForRequestsMs } from './requestRates.js'
 import { DEFAULT_WORKER_CHOICE, WorkerChoice } from './workerChoice.js'
@@ -51,7 +51,7 @@
 export type SlotPlacement =
   | { type: 'placed', placementId: string, workerId: string }
   /** Not placed, and not going to be. */
-  | { type: 'refused', placementId: string, retryAfterMs: number, reason: RefusalReason }
+  | { type: 'refused', placementId: string, retryAfterMs: number, reason: PlacementRefusalReason }
 
 export interface ServicePlacementOptions extends ProgramsInProgressOptions {
   /** Programs of a rank below the most urgent one begin only while the programs in progress, and their parallel turns, are fewer than this multiple of the slots. */
@@ -168,6 +168,11 @@
     return this._queue.length
   }
 
+  /** Programs in progress by client account. */
+  programsByAccount (nowMs: number): ReadonlyMap<string, number> {
+    return this._programs.runningByAccount(nowMs)
+  }
+
   /** Counts requests in flight by worker that another coordinator has placed. */
   adoptLoad (inFlight: Readonly<Record<string, number>>, nowMs: number): void {
     this._adoptedLoad = inFlight
@@ -317,13 +322,13 @@
   }
 
   /** Why no worker will take the request before its wait is over; undefined if one may. */
-  private _refusalOf (waiting: WaitingRequest, order: IPlacementOrder, ahead: QueueAhead, service: PlacementService, situation: PlacementSituation): RefusalReason | undefined {
+  private _refusalOf (waiting: WaitingRequest, order: IPlacementOrder, ahead: QueueAhead, service: PlacementService, situation: PlacementSituation): PlacementRefusalReason | undefined {
     const { request, untilMs } = waiting
     const { nowMs } = situation
-    if (!service.workers.some(worker => isOfVersion(worker, request))) return RefusalReason.NoWorker
-    if (nowMs >= untilMs) return untilMs < waiting.queuedAtMs ? RefusalReason.Deadline : RefusalReason.Waited
+    if (!service.workers.some(worker => isOfVersion(worker, request))) return PlacementRefusalReason.NoWorker
+    if (nowMs >= untilMs) return untilMs < waiting.queuedAtMs ? PlacementRefusalReason.Deadline : PlacementRefusalReason.Waited
     const waitMs = Math.max(this._rateWaitMs(ahead.count, service), order.expectedWaitMs(waiting, ahead, situation))
-    return nowMs + waitMs >= untilMs ? RefusalReason.QueueAhead : undefined
+    return nowMs + waitMs >= untilMs ? PlacementRefusalReason.QueueAhead : undefined
   }
 
   /** Time until the workers may take a request that has `queuedCount` others before it; 0 while a worker has no rate limit. */
--- a/packages/node/src/common/metrics.ts
+++ b/packages/node/src/common/metrics.ts
@@ -38,10 +38,16 @@
     entry.sumMs += durationMs
   }
 
-  /** Renders all metrics in the Prometheus text format; `gauges` holds the current value of each gauge by name. */
+  /** Renders all metrics in the Prometheus text format; `gauges` holds the current value of each gauge by name, or by `formatSeries`; series of one gauge follow each other. */
   render (gauges: Record<string, number>): string {
     const lines: string[] = []
-    for (const [name, value] of Object.entries(gauges)) lines.push(`# TYPE ${PREFIX}${name} gauge`, `${PREFIX}${name} ${value}`)
+    let lastFamily = ''
+    for (const [name, value] of Object.entries(gauges)) {
+      const [family] = name.split('{')
+      if (family !== lastFamily) lines.push(`# TYPE ${PREFIX}${family} gauge`)
+      lines.push(`${PREFIX}${name} ${value}`)
+      lastFamily = family
+    }
     for (const [name, series] of this._counters) {
       lines.push(`# TYPE ${PREFIX}${name} counter`)
       for (const [labels, { value }] of series) lines.push(`${PREFIX}${name}${labels} ${value}`)
@@ -54,6 +60,16 @@
   }
 }
 
+/**
+ * The name of one series of a gauge with labels.
+ *
+ * @example
+ * formatSeries('account_programs', { account: 'yard-7' }) // account_programs{account="yard-7"}
+ */
+export function formatSeries (name: string, labels: Record<string, string>): string {
+  return `${name}${formatLabels(labels)}`
+}
+
 function renderHistogram (name: string, { labels, histogram, sumMs }: HistogramSeries): string[] {
   const quantiles = QUANTILES.map(quantile => {
     const value = histogram.getValueAtPercentile(quantile * 100)
--- a/packages/node/src/common/routed/routedPeerMessages.ts
+++ b/packages/node/src/common/routed/routedPeerMessages.ts
@@ -146,7 +146,8 @@
 export type PlaceReply =
   | { type: 'placed', workerId: string }
   | { type: 'queued' }
-  | { type: 'refused', retryAfterMs: number }
+  /** `reason` is absent where requests are ordered by rank. */
+  | { type: 'refused', retryAfterMs: number, reason?: string }
 
 /** A call that a peer makes over its own links; it knows the address of the worker itself. */
 export type RelayedWorkerCall = Omit<WorkerCall, 'address' | 'maxConnections'>
--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -1,6 +1,7 @@
 /** The gauges of a node, for its metrics endpoint. */
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { IWorkerNotices } from '@trefoilshunt/core'
+import { formatSeries } from '../../common/metrics.js'
 import { steadyNowMs } from '../steadyClock.js'
 import type { ClusterView } from './clusterView.js'
 import type { NodeDirectory } from './nodeDirectory.js'
@@ -87,6 +88,7 @@
       stream_output_bytes_held: streamOutputs.byteCount,
       placements_open: coordinator.openCount,
       placements_queued: coordinator.queueLength,
+      ...Object.fromEntries([...coordinator.programsByAccount].map(([account, count]) => [formatSeries('account_programs', { account }), count])),
       append_backlog: served.reduce((total, owner) => total + owner.backlog, 0),
       log_silence_ms: clusterView.sinceLogResponseMs,
       resident_memory_bytes: memory.rss,
--- a/packages/node/src/node/routed/placementCoordinator.ts
+++ b/packages/node/src/node/routed/placementCoordinator.ts
@@ -1,5 +1,5 @@
 /** Assigns slots of workers for the service shards that this node coordinates. */
-import { type IRandom, type IRouteTable, type IWorkerNotices, type IWorkerRegistry, type IWorkerStatistics, type LogFields, type PlacementService, type PlacementEnd, type PlacementRequest, ServicePlacement, type SlotPlacement, type WorkerRegistration } from '@trefoilshunt/core'
+import { AccountShares, type IAccountDirectory, type IRandom, type IRouteTable, type IWorkerNotices, type IWorkerRegistry, type IWorkerStatistics, type LogFields, type PlacementService, type PlacementEnd, PlacementOrder, type PlacementRequest, ServicePlacement, type SlotPlacement, type WorkerRegistration } from '@trefoilshunt/core'
 import { type PlaceReply, type ServiceShard, shardIndexOf, shardKeyOf } from '../../common/routed/routedPeerMessages.js'
 import { steadyNowMs } from '../steadyClock.js'
 
@@ -8,6 +8,9 @@
 const EXPIRY_CHECK_MS = 1_000
 /** Without a request for this long, another node has coordinated the shard in the meantime. */
 const TAKEOVER_PAUSE_MS = 1_500
+/** Accounts with a metric of their own; the number of series stays bounded. */
+const MAX_ACCOUNT_GAUGES = 8
+const OTHER_ACCOUNTS = '(others)'
 
 /** Sends a reply to a request for a slot; none follows one with `isLast`. */
 export type PlaceResponder = (reply: PlaceReply | { type: 'unavailable', detail: string }, isLast: boolean) => void
@@ -21,6 +24,10 @@
   /** Number of other nodes that assign the slots of a shard at the moment, for example while the role moves. */
   otherCoordinatorCount: (shardKey: string) => number
   random: IRandom
+  /** How waiting requests are ordered; `Auto` means by cost where the document has client accounts or the speeds of the service's workers differ. */
+  placementOrder?: PlacementOrder
+  /** True if the learned speeds of the service's workers differ by a quarter or more. */
+  isUneven?: (service: string) => boolean
   write: (event: string, fields: LogFields) => void
 }
 
@@ -33,6 +40,7 @@
 interface OpenRequest {
   key: string
   from: string
+  isOrderedByCost: boolean
   /** Absent once the request is decided. */
   respond?: PlaceResponder
 }
@@ -45,6 +53,8 @@
 export class PlacementCoordinator {
   private readonly _shards = new Map<string, Shard>()
   private readonly _openRequests = new Map<string, OpenRequest>()
+  /** Shares of the accounts, with the directory that they were derived from. */
+  private _shares: { directory: IAccountDirectory, shares: AccountShares } | undefined
   private _queueTimer: NodeJS.Timeout | undefined
   private readonly _expiryTimer: NodeJS.Timeout
 
@@ -65,6 +75,17 @@
     return length
   }
 
+  /** Programs in progress by client account; those of accounts beyond the first `MAX_ACCOUNT_GAUGES`, by number of programs, are added up. */
+  get programsByAccount (): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>()
+    for (const { placement } of this._shards.values()) {
+      for (const [account, count] of placement.programsByAccount(steadyNowMs())) counts.set(account, (counts.get(account) ?? 0) + count)
+    }
+    const sorted = [...counts].sort(([, left], [, right]) => right - left)
+    const others = sorted.slice(MAX_ACCOUNT_GAUGES).reduce((total, [, count]) => total + count, 0)
+    return new Map([...sorted.slice(0, MAX_ACCOUNT_GAUGES), ...(others === 0 ? [] : [[OTHER_ACCOUNTS, others] as const])])
+  }
+
   /** Keys of the shards with rate limits that this node has coordinated lately. */
   get rateLimitedShards (): string[] {
     const nowMs = steadyNowMs()
@@ -83,7 +104,7 @@
     const nowMs = steadyNowMs()
     const state = this._resolveShard(shard, service, nowMs)
     state.lastRequestAtMs = nowMs
-    this._openRequests.set(request.placementId, { key: shardKeyOf(shard), from, respond })
+    this._openRequests.set(request.placementId, { key: shardKeyOf(shard), from, isOrderedByCost: service.isOrderedByCost === true, respond })
     const decided = state.placement.place(request, service, nowMs)
     if (decided.every(({ placementId }) => placementId !== request.placementId)) {
       respond({ type: 'queued' }, false)
@@ -134,10 +155,25 @@
     return {
       workers,
       cacheTokens: this._options.routes.findService(service)?.engine?.kvTokensCapacity ?? Number.POSITIVE_INFINITY,
-      ratesPerS: this._ratesOf(workers, shardKeyOf(shard))
+      ratesPerS: this._ratesOf(workers, shardKeyOf(shard)),
+      isOrderedByCost: this._isOrderedByCost(service),
+      shareOf: this._resolveShareOf()
     }
   }
 
+  private _isOrderedByCost (service: string): boolean {
+    const { placementOrder = PlacementOrder.Auto, routes, isUneven = () => false } = this._options
+    return placementOrder === PlacementOrder.Cost || (placementOrder === PlacementOrder.Auto && (routes.accounts !== undefined || isUneven(service)))
+  }
+
+  private _resolveShareOf (): ((account: string) => number) | undefined {
+    const directory = this._options.routes.accounts
+    if (directory === undefined) return undefined
+    if (this._shares?.directory !== directory) this._shares = { directory, shares: new AccountShares(directory) }
+    const { shares } = this._shares
+    return account => shares.shareOf(account)
+  }
+
   /** The rates of workers with rate limits, divided among the coordinators. */
   private _ratesOf (workers: readonly WorkerRegistration[], shardKey: string): ReadonlyMap<string, number> {
     const ratesPerS = new Map<string, number>()
@@ -159,7 +195,7 @@
         if (open !== undefined) open.respond = undefined
       } else {
         this._openRequests.delete(placementId)
-        open?.respond?.({ type: 'refused', retryAfterMs: placement.retryAfterMs }, true)
+        open?.respond?.({ type: 'refused', retryAfterMs: placement.retryAfterMs, ...(open.isOrderedByCost ? { reason: placement.reason } : {}) }, true)
       }
     }
   }
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -1,7 +1,7 @@
 /** A node that serves routed requests: creates and connects its parts, starts them and stops them in order. */
 import { randomBytes } from 'node:crypto'
 import {
-  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, WorkerChoiceOptions
+  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, type PlacementOrder, WorkerChoiceOptions
 } from '@trefoilshunt/core'
 import { Metrics } from '../../common/metrics.js'
 import type { ILogClient } from '../../common/routed/logClient.js'
@@ -77,6 +77,8 @@
   eventLog: IEventLog
   /** Overrides of the default options for the choice of workers. */
   workerChoice?: Partial<WorkerChoiceOptions>
+  /** What goes first while requests wait for workers; by default by cost where the document has client accounts. */
+  placementOrder?: PlacementOrder
 }
 
 /**
@@ -200,7 +202,7 @@
       write
     })
     this._turns = new TurnService({ partitionCount: _options.partitionCount, host: this._partitionHost, mesh: this._mesh, directory: this._directory, write })
-    this._coordinator = new PlacementCoordinator({ routes: this._routes, registry: this._registry, statistics: this._statistics, notices: this._notices, otherCoordinatorCount: key => this._directory.coordinatorCount(key), random: container.resolve<IRandom>(IRandom), write })
+    this._coordinator = new PlacementCoordinator({ routes: this._routes, registry: this._registry, statistics: this._statistics, notices: this._notices, otherCoordinatorCount: key => this._directory.coordinatorCount(key), random: container.resolve<IRandom>(IRandom), placementOrder: _options.placementOrder, write })
     const { documentTopic, documentKey, workerTopic, codec } = _options
     this._clusterView = new ClusterView({
       node,
--- a/packages/node/src/node/routed/slotClient.ts
+++ b/packages/node/src/node/routed/slotClient.ts
@@ -25,7 +25,7 @@
 }
 
 /** `refused`: no slot will be free in time. `unavailable`: no coordinator has decided. */
-export type SlotOutcome = Slot | { type: 'refused', retryAfterMs: number } | { type: 'unavailable', detail: string }
+export type SlotOutcome = Slot | { type: 'refused', retryAfterMs: number, reason?: string } | { type: 'unavailable', detail: string }
 
 const NO_REPLY: SlotOutcome = { type: 'unavailable', detail: 'the coordinator did not reply' }
 
--- a/packages/node/src/node/routed/workerSelector.ts
+++ b/packages/node/src/node/routed/workerSelector.ts
@@ -97,15 +97,16 @@
     }
     switch (outcome.type) {
       case 'placed': return onSelected({ type: 'selected', worker: outcome.worker, service, release: outcome.release })
-      case 'refused': return onSelected(outcome)
+      case 'refused': return onSelected({ type: 'refused', retryAfterMs: outcome.retryAfterMs })
       case 'unavailable': return onSelected(this._selectHere(state))
     }
   }
 
   private _requestSlot (service: RoutedService, { cached, excluded, hasBegun, timeLeftMs, origin }: AttemptState): SlotRequest {
-    const { dependencies: { slots, durations, zone }, request: { program, prompt }, route } = this._options
+    const { dependencies: { slots, durations, zone }, request: { program, prompt, account }, route } = this._options
     return slots.request(service.name, {
       programId: program?.programId,
+      ...(account === undefined ? {} : { account }),
       // Calls of plain services belong to programs in progress.
       hasBegun: hasBegun || service.engine === undefined,
       priority: route.priority,
@@ -124,7 +125,9 @@
   private _record (outcome: SlotOutcome, waitedMs: number): void {
     this._options.dependencies.metrics.observeMs('slot_wait_ms', waitedMs, { outcome: outcome.type })
     if (outcome.type === 'placed') return
-    this._options.log('slotNotAssigned', { outcome: outcome.type, waitedMs: Math.round(waitedMs), detail: outcome.type === 'unavailable' ? outcome.detail : undefined })
+    const reason = outcome.type === 'refused' ? outcome.reason : undefined
+    if (reason !== undefined) this._options.dependencies.metrics.count('placements_refused_total', { rank: String(this._options.route.priority), reason })
+    this._options.log('slotNotAssigned', { outcome: outcome.type, waitedMs: Math.round(waitedMs), reason, detail: outcome.type === 'unavailable' ? outcome.detail : undefined })
   }
 
   private _selectHere (state: AttemptState): WorkerSelection {
