--- a/packages/core/src/common/workers/index.ts
+++ b/packages/core/src/common/workers/index.ts
@@ -1,4 +1,6 @@
+export * from './accountBegins.js'
 export * from './engineSpeed.js'
+export * from './placementOrder.js'
 export * from './programsInProgress.js'
 export * from './requestRates.js'
 export * from './servicePlacement.js'
--- a/packages/core/test/common/workers/load/coordinatedPlacement.ts
+++ b/packages/core/test/common/workers/load/coordinatedPlacement.ts
@@ -1,5 +1,5 @@
 /** Nodes that request a slot of a worker from the coordinator of the service. */
-import { type EventTimes, PromptCacheIndex, SeededRandom, ServicePlacement, type PlacementEnd, type PlacementService, type SlotPlacement } from '@trefoilshunt/core'
+import { DEFAULT_SERVICE_PLACEMENT, type EventTimes, PlacementOrder, PromptCacheIndex, SeededRandom, ServicePlacement, type PlacementEnd, type PlacementService, type SlotPlacement } from '@trefoilshunt/core'
 import { drawWayMs, type SimulatedFleet } from './localPlacement.js'
 import { type StartAttempt, TOKENS_PER_EVENT } from './programLoad.js'
 import { GROWN_ENGINE, type EngineRequest, type SimulatedEngine } from './simulatedEngine.js'
@@ -8,18 +8,21 @@
 const EXPECTED_MS = 320
 const DEADLINE_MS = 3_000
 const DECISION_PERIOD_MS = 20
+const EXPIRY_PERIOD_MS = 1_000
 
 export interface CoordinatedPlacementOptions {
   /** The present coordinator; another one may take its place while requests are open. */
   coordinator: () => ServicePlacement
   service: PlacementService
+  /** Order of the requests that wait, without `coordinator`. */
+  placementOrder: PlacementOrder
   /** Called with each worker that gets a request. */
   onPlaced: (workerId: string) => void
 }
 
 export function createCoordinatedPlacement ({ events, random, workers, engines }: SimulatedFleet, options: Partial<CoordinatedPlacementOptions> = {}): StartAttempt {
   const service = options.service ?? { workers, cacheTokens: GROWN_ENGINE.kvTokens, ratesPerS: new Map<string, number>(), tokensPerEvent: TOKENS_PER_EVENT }
-  const onlyCoordinator = new ServicePlacement(new SeededRandom(1))
+  const onlyCoordinator = new ServicePlacement(new SeededRandom(1), { ...DEFAULT_SERVICE_PLACEMENT, placementOrder: options.placementOrder ?? PlacementOrder.Rank })
   const resolveCoordinator = options.coordinator ?? (() => onlyCoordinator)
   const sessions = new PromptCacheIndex()
   const waiting = new Map<string, (placement: SlotPlacement) => void>()
@@ -34,6 +37,11 @@
     events.after(DECISION_PERIOD_MS, decide)
   }
   decide()
+  const removeExpired = (): void => {
+    resolveCoordinator().removeExpired(events.nowMs())
+    events.after(EXPIRY_PERIOD_MS, removeExpired)
+  }
+  removeExpired()
   return attempt => {
     const placementId = String(++lastId)
     const { prompt } = attempt
@@ -80,13 +88,14 @@
       resolveCoordinator().place({
         placementId,
         programId: attempt.programId,
+        account: attempt.account,
         hasBegun: !attempt.isFirstTurn,
         priority: attempt.priority,
         objectiveMs: attempt.objectiveMs,
         durationMs: EXPECTED_MS,
         timeLeftMs: DEADLINE_MS,
         finishMs: attempt.finishMs,
-        zone: 'a',
+        zone: attempt.zone,
         prompt,
         cached: sessions.find(prompt),
         excluded: []
--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -1,7 +1,7 @@
 /** The gauges of a node, for its metrics endpoint. */
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { IWorkerNotices } from '@trefoilshunt/core'
-import { formatLabels } from '../../common/metrics.js'
+import { formatSeries } from '../../common/metrics.js'
 import { steadyNowMs } from '../steadyClock.js'
 import type { QuotaClient } from './accounts/quotaClient.js'
 import type { QuotaService } from './accounts/quotaService.js'
@@ -104,6 +104,7 @@
       stream_output_bytes_held: streamOutputs.byteCount,
       placements_open: coordinator.openCount,
       placements_queued: coordinator.queueLength,
+      ...Object.fromEntries([...coordinator.programsByAccount].map(([account, count]) => [formatSeries('account_programs', { account }), count])),
       append_backlog: served.reduce((total, owner) => total + owner.backlog, 0),
       log_silence_ms: clusterView.sinceLogResponseMs,
       resident_memory_bytes: memory.rss,
@@ -121,7 +122,7 @@
     for (const [name, valueOf] of SPEED_GAUGES) {
       for (const shardSpeeds of speeds) {
         const { service, index } = shardSpeeds.shard
-        gauges[`${name}${formatLabels({ service, shard: String(index) })}`] = valueOf(shardSpeeds)
+        gauges[formatSeries(name, { service, shard: String(index) })] = valueOf(shardSpeeds)
       }
     }
     return gauges
