--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,11 +24,10 @@
       Object.assign(new Int32Histogram(lowestDiscernibleValue, highestTrackableValue, numberOfSignificantValueDigits), { autoResize: true })`,
   // The HTTP servers answer with JSON and plain text; the short list of media types holds them.
   mime: "export { default } from 'mime/lite'",
-  // Of undici, the daemon uses only the connection pool with its clients, and the `request` method.
+  // Of undici, the daemon uses only the connection pool with its clients.
   undici: `exports.Pool = require('undici/lib/dispatcher/pool.js')
     exports.Client = require('undici/lib/dispatcher/client.js')
-    exports.buildConnector = require('undici/lib/core/connect.js')
-    require('undici/lib/dispatcher/dispatcher.js').prototype.request = require('undici/lib/api/api-request.js')`
+    exports.buildConnector = require('undici/lib/core/connect.js')`
 }
 
 const leaveOut = {
--- a/scripts/profileRouted.ts
+++ b/scripts/profileRouted.ts
@@ -2,7 +2,7 @@
  * Processor time of the routed daemon by cause, of this build and of another one in the same run: each span is measured on a fleet of either build at the
  * same time, so that other load of the machine changes both. Prints the figures of both builds and their ratio.
  *
- * Usage: npm run profile:routed -- [--baseline FOLDER] [--nodes 16] [--seconds 8] [--rounds 2] [--starts 4] [--causes FOLDER]
+ * Usage: npm run profile:routed -- [--baseline FOLDER] [--nodes 8] [--seconds 8] [--rounds 2] [--starts 4] [--causes FOLDER]
  */
 import { mkdirSync, readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
@@ -14,8 +14,8 @@
 const US_PER_MS = 1_000
 const MAX_NODES = 40
 const SMALL_FLEET = 3
-const CALLS_PER_S = 6
-const TURNS_PER_S = 1.5
+const CALLS_PER_S = 15
+const TURNS_PER_S = 4
 const SHORT_TURN_EVENTS = 2
 const LONG_TURN_EVENTS = 22
 const SETTLE_MS = 3_000
@@ -24,7 +24,7 @@
 const options = await yargs(hideBin(process.argv))
   .options({
     baseline: { type: 'string', describe: 'folder of another version with its build, to compare with' },
-    nodes: { type: 'number', default: 16, describe: `processes of each build, ${MAX_NODES} at most` },
+    nodes: { type: 'number', default: 8, describe: `processes of each build, ${MAX_NODES} at most` },
     seconds: { type: 'number', default: 8, describe: 'length of each span' },
     rounds: { type: 'number', default: 2, describe: 'spans of each kind' },
     starts: { type: 'number', default: 4, describe: 'starts of each build' },
