Placement by cost: the queue is also sorted while no slot is free

New requests that had arrived before a request of a program in progress counted as ahead of it until a slot became free, so that it could be refused for them. The queue is sorted before each decision. The test of it fails without the change and passes with it.

--- a/packages/core/src/common/workers/placementOrder.ts
+++ b/packages/core/src/common/workers/placementOrder.ts
@@ -67,7 +67,7 @@
 export interface IPlacementOrder {
   /** Adds a request to the queue. */
   insert (queue: WaitingRequest[], waiting: WaitingRequest): void
-  /** Sorts the queue before slots are assigned. */
+  /** Sorts the queue before decisions, which depend on the requests ahead of each one. */
   sort (queue: WaitingRequest[], situation: PlacementSituation): void
   /** True if the request may begin with that many programs in progress; a request of a program in progress always may. */
   mayBegin (waiting: WaitingRequest, situation: PlacementSituation): boolean
--- a/packages/core/src/common/workers/servicePlacement.ts
+++ b/packages/core/src/common/workers/servicePlacement.ts
@@ -209,7 +209,7 @@
     const ahead = new QueueCounts()
     let free = this._freeSlots(service)
     const situation = this._createSituation(service, free > 0, nowMs)
-    if (free > 0) order.sort(this._queue, situation)
+    order.sort(this._queue, situation)
     for (const waiting of this._queue) {
       const mayBegin = free > 0 && order.mayBegin(waiting, situation)
       const placement = mayBegin ? this._placeNow(waiting.request, service, nowMs) : undefined
--- a/packages/core/test/common/workers/placementOrder.test.ts
+++ b/packages/core/test/common/workers/placementOrder.test.ts
@@ -1,7 +1,7 @@
 /** Tests the order of waiting requests: what callers get by cost, compared with the order by rank. `LOAD_REPORT=1` prints each result. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { hash32, type IRandom, PlacementOrder } from '@trefoilshunt/core'
+import { DEFAULT_SERVICE_PLACEMENT, hash32, type IRandom, PlacementOrder, SeededRandom, ServicePlacement } from '@trefoilshunt/core'
 import { type ContendedLoad, runContendedFleet, ZONES } from './load/contendedFleet.js'
 import { playPlacementSequence } from './load/placementSequence.js'
 import { CONSULT, REMEASURE } from './load/programLoad.js'
@@ -94,4 +94,16 @@
   assert.ok(byCost.classes[0] > byRank.classes[0], `the others earned ${byCost.classes[0]} against ${byRank.classes[0]}`)
 })
 
+test('a request of a program in progress is not refused for new ones that arrived before it while no slot is free', () => {
+  const placement = new ServicePlacement(new SeededRandom(1), { ...DEFAULT_SERVICE_PLACEMENT, placementOrder: PlacementOrder.Cost, queuePerWorker: 0 })
+  const workers = [{ workerId: 'w', service: 's', address: '127.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: 1, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }]
+  const service = { workers, cacheTokens: 1_000, ratesPerS: new Map<string, number>() }
+  const request = { hasBegun: false, priority: 2, objectiveMs: 4_000, durationMs: 300, timeLeftMs: 3_000, zone: 'a', prompt: [], cached: [], excluded: [] }
+  placement.place({ ...request, placementId: 'running', hasBegun: true }, service, 0)
+  for (let index = 0; index < 10; index++) placement.place({ ...request, placementId: `new-${index}`, programId: `p${index}` }, service, 0)
+  const decided = placement.place({ ...request, placementId: 'begun', hasBegun: true }, service, 1)
+  assert.ok(decided.every(({ placementId }) => placementId !== 'begun'))
+  assert.equal(placement.release('running', {}, service, 2).map(({ type, placementId }) => [type, placementId]), [['placed', 'begun']])
+})
+
 test.run()
