Placement: counts of programs in progress iterate over recent programs only

Each decision iterated over all programs of the last 10 s, ended and refused ones included. A set holds those that have begun and not paused for too long.

--- a/packages/core/src/common/workers/programsInProgress.ts
+++ b/packages/core/src/common/workers/programsInProgress.ts
@@ -65,6 +65,8 @@
  */
 export class ProgramsInProgress {
   private readonly _programs = new Map<string, KnownProgram>()
+  /** Programs that have begun, without most of those that ended; counts for each decision need not iterate over all known programs. */
+  private readonly _recent = new Set<KnownProgram>()
   private readonly _begins = new AccountBegins()
   /** Mean work of ended programs by kind. */
   private readonly _kinds = new Map<string, Ewma>()
@@ -83,6 +85,7 @@
     if (known !== undefined) {
       known.lastAtMs = nowMs
       known.waitingSinceMs ??= nowMs
+      if (known.hasBegun) this._recent.add(known)
       return
     }
     // The caller sets the finish from the program's time on idle workers, so that this time follows from it.
@@ -117,6 +120,7 @@
     known.waitingSinceMs = undefined
     known.openTurns++
     known.hasBegun = true
+    this._recent.add(known)
     known.lastAtMs = nowMs
   }
 
@@ -144,8 +148,8 @@
   /** Programs between two turns. */
   pausingCount (nowMs: number): number {
     let count = 0
-    for (const known of this._programs.values()) {
-      if (known.openTurns === 0 && this._isRunning(known, nowMs)) count++
+    for (const { openTurns } of this._running(nowMs)) {
+      if (openTurns === 0) count++
     }
     return count
   }
@@ -153,8 +157,8 @@
   /** Programs of the rank with an open turn or between two turns. */
   runningOfRank (priority: number, nowMs: number): number {
     let count = 0
-    for (const known of this._programs.values()) {
-      if (known.priority === priority && this._isRunning(known, nowMs)) count++
+    for (const program of this._running(nowMs)) {
+      if (program.priority === priority) count++
     }
     return count
   }
@@ -162,8 +166,8 @@
   /** Programs with an open turn or between two turns, by account. */
   runningByAccount (nowMs: number): Map<string, number> {
     const counts = new Map<string, number>()
-    for (const known of this._programs.values()) {
-      if (known.account !== undefined && this._isRunning(known, nowMs)) counts.set(known.account, (counts.get(known.account) ?? 0) + 1)
+    for (const { account } of this._running(nowMs)) {
+      if (account !== undefined) counts.set(account, (counts.get(account) ?? 0) + 1)
     }
     return counts
   }
@@ -198,8 +202,12 @@
     return mean === undefined || mean.sampleCount < MIN_WORK_SAMPLES ? 0 : mean.value * LEAST_WORK_SHARE
   }
 
-  private _isRunning ({ hasBegun, openTurns, lastAtMs }: KnownProgram, nowMs: number): boolean {
-    return hasBegun && (openTurns > 0 || nowMs - lastAtMs < this._options.pauseMs)
+  /** Programs with an open turn or between two turns. */
+  private _running (nowMs: number): ReadonlySet<KnownProgram> {
+    for (const program of this._recent) {
+      if (program.openTurns === 0 && nowMs - program.lastAtMs >= this._options.pauseMs) this._recent.delete(program)
+    }
+    return this._recent
   }
 
   private _find (programId: string | undefined, nowMs: number): KnownProgram | undefined {
