--- a/packages/core/src/common/accounts/accountShares.ts
+++ b/packages/core/src/common/accounts/accountShares.ts
@@ -12,7 +12,7 @@
   private readonly _meanShare: number
 
   constructor (private readonly _directory: IAccountDirectory) {
-    const rates = _directory.accounts.flatMap(({ quota }) => quota === undefined ? [] : [quota.ratePerS])
+    const rates = _directory.accounts.flatMap(({ quota }) => quota !== undefined && quota.ratePerS > 0 ? [quota.ratePerS] : [])
     this._meanShare = rates.length === 0 ? 1 : rates.reduce((total, rate) => total + rate, 0) / rates.length
   }
 
--- a/packages/core/src/common/workers/servicePlacement.ts
+++ b/packages/core/src/common/workers/servicePlacement.ts
@@ -90,7 +90,7 @@
   placementOrder: PlacementOrder.Auto,
   // With this many programs for each slot, each takes up to 1.4 times its time on idle workers, which is what callers allow for the finish.
   maxUrgentProgramsPerSlot: 1.4,
-  // Less than the share of slots that the more urgent rank keeps in any flood, so that no rank is served less often than a less urgent one.
+  // A rank that needs half of the slots keeps a fifth of its programs; the urgent rank is served more often than that in a flood of 4 times its rate.
   lessUrgentShare: 0.1,
   // Accounts must not be served less than a quarter as often as all; the rest is a margin for the delay of the counts.
   minServedRatio: 0.35,
--- a/packages/core/test/common/workers/load/placementSequence.ts
+++ b/packages/core/test/common/workers/load/placementSequence.ts
@@ -22,8 +22,8 @@
   }
 }
 
-/** All decisions of a sequence. */
-export function playPlacementSequence (seed: number): SlotPlacement[] {
+/** All decisions of a sequence, with steps shorter than `stepMs`. */
+export function playPlacementSequence (seed: number, stepMs = 40): SlotPlacement[] {
   const random = new SeededRandom(seed)
   const placement = new ServicePlacement(new SeededRandom(seed + 1_000))
   const workers = Array.from({ length: 1 + random.nextInt(4) }, (_, index) => ({
@@ -35,7 +35,7 @@
   const decisions: SlotPlacement[] = []
   let nowMs = 0
   for (let step = 0; step < STEPS; step++) {
-    nowMs += random.nextInt(40)
+    nowMs += random.nextInt(stepMs)
     const action = random.next()
     if (action < 0.6) {
       open.push(String(step))
--- a/packages/core/test/common/workers/placementOrder.test.ts
+++ b/packages/core/test/common/workers/placementOrder.test.ts
@@ -6,8 +6,8 @@
 import { playPlacementSequence } from './load/placementSequence.js'
 import { CONSULT, REMEASURE } from './load/programLoad.js'
 
-/** Digest of the decisions of 50 sequences by the code before there was an order by cost (74f4eb2). */
-const DIGEST_BY_RANK = 1_631_625_349
+/** Digests of the decisions of 50 sequences by the code before there was an order by cost (74f4eb2), by length of the steps. Programs pause for longer than `pauseMs` only in the longer ones. */
+const DIGESTS_BY_RANK = [[40, 1_631_625_349], [200, 3_296_377_392], [600, 2_459_186_280]] as const
 const SEEDS = [7, 8]
 const FLOOD = { factor: 4, fromMs: 3_000, toMs: 7_000 }
 /** Differences below this are those of the random sequences. */
@@ -48,9 +48,11 @@
 }
 
 test('by rank, every decision is the one of the code before there were two orders: deployments without accounts see no change', () => {
-  const decisions = Array.from({ length: 50 }, (_, seed) => playPlacementSequence(seed).map(decision =>
-    decision.type === 'placed' ? decision : { type: decision.type, placementId: decision.placementId, retryAfterMs: decision.retryAfterMs }))
-  assert.is(hash32(JSON.stringify(decisions)), DIGEST_BY_RANK)
+  for (const [stepMs, digest] of DIGESTS_BY_RANK) {
+    const decisions = Array.from({ length: 50 }, (_, seed) => playPlacementSequence(seed, stepMs).map(decision =>
+      decision.type === 'placed' ? decision : { type: decision.type, placementId: decision.placementId, retryAfterMs: decision.retryAfterMs }))
+    assert.is(hash32(JSON.stringify(decisions)), digest, `steps of ${stepMs} ms`)
+  }
 })
 
 test('a flood of rank 0 does not make all programs late: both ranks earn more than by rank, the urgent one not less than the other', () => {
@@ -94,6 +96,16 @@
   assert.ok(byCost.classes[0] > byRank.classes[0], `the others earned ${byCost.classes[0]} against ${byRank.classes[0]}`)
 })
 
+test('while rank 0 takes all the room that it may, the less urgent rank begins programs on its share of the slots and no more', () => {
+  const placement = new ServicePlacement(new SeededRandom(1), { ...DEFAULT_SERVICE_PLACEMENT, placementOrder: PlacementOrder.Cost, queuePerWorker: 20 })
+  const workers = [{ workerId: 'w', service: 's', address: '127.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: 20, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }]
+  const service = { workers, cacheTokens: 1_000, ratesPerS: new Map<string, number>() }
+  const placedCount = (priority: number): number => Array.from({ length: 40 }, (_, index) => placement.place({
+    placementId: `${priority}/${index}`, programId: `${priority}/p${index}`, hasBegun: false, priority, objectiveMs: 400, durationMs: 10, timeLeftMs: 3_000, zone: 'a', prompt: [], cached: [], excluded: []
+  }, service, 0)).flat().filter(({ type }) => type === 'placed').length
+  assert.equal([placedCount(0), placedCount(2)], [28, 2])
+})
+
 test('a request of a program in progress is not refused for new ones that arrived before it while no slot is free', () => {
   const placement = new ServicePlacement(new SeededRandom(1), { ...DEFAULT_SERVICE_PLACEMENT, placementOrder: PlacementOrder.Cost, queuePerWorker: 0 })
   const workers = [{ workerId: 'w', service: 's', address: '127.0.0.1:1', zone: 'a', softwareVersion: 'v1', slots: 1, isDraining: false, startedAtMs: 1, coldLeftMs: 0 }]
