Untrusted callers: memory, connections and open requests of a node are limited

Cause: bodies, unread answers, incomplete frames and connections of callers were bounded one by one or not at all, so a crowd exceeded the memory or the descriptors of a process. A connection with more than 64 open requests was closed, and answers of requests that ran were lost. Change: callers share a MemoryBudget from memoryBytes; without room, bodies wait unread and are then refused with 503. Connections of each port have a budget from descriptors. Bodies over the limit get 413 without being read on, heads over it 431. Node.js's parser gets what was read in pieces of 4 KB and no more than 64 requests of a connection run at a time; the others wait unread. Unread answers end after the idle limit. An HTTP/1.1 request without a Host header still gets 400.

--- a/packages/node/src/node/byteCollector.ts
+++ b/packages/node/src/node/byteCollector.ts
@@ -3,6 +3,8 @@
 /** Smaller pieces are copied, because each one held would cost an object of its own. */
 const MIN_PIECE_BYTES = 4 * 1024
 const BLOCK_BYTES = 16 * 1024
+/** What an array of bytes takes beside them in Node.js 20, in the heap and outside of it. */
+const OBJECT_BYTES = 256
 
 /**
  * Holds the bytes in blocks, so that their cost in memory does not depend on the sizes of the pieces.
@@ -18,17 +20,23 @@
   private _open: Buffer | undefined
   private _openBytes = 0
   private _byteCount = 0
+  private _blockBytes = 0
 
   /** Bytes held. */
   get byteCount (): number {
     return this._byteCount
   }
 
+  /** Memory that they take: whole blocks, also where they are not full, and the objects that hold them. */
+  get heldBytes (): number {
+    return this._blockBytes + (this._small?.length ?? 0) + (this._open === undefined ? 0 : BLOCK_BYTES) + (this._blocks.length + 2) * OBJECT_BYTES
+  }
+
   add (bytes: Uint8Array): void {
     this._byteCount += bytes.length
     if (bytes.length >= MIN_PIECE_BYTES) {
       this._closeBlock()
-      this._blocks.push(bytes)
+      this._keep(bytes)
       return
     }
     if (this._open === undefined && this._small === undefined) {
@@ -43,6 +51,7 @@
   drain (): Uint8Array[] {
     this._closeBlock()
     this._byteCount = 0
+    this._blockBytes = 0
     return this._blocks.splice(0)
   }
 
@@ -63,12 +72,17 @@
   }
 
   private _closeBlock (): void {
-    if (this._small !== undefined) this._blocks.push(this._small)
-    if (this._open !== undefined) this._blocks.push(shrink(this._open.subarray(0, this._openBytes)))
+    if (this._small !== undefined) this._keep(this._small)
+    if (this._open !== undefined) this._keep(shrink(this._open.subarray(0, this._openBytes)))
     this._small = undefined
     this._open = undefined
     this._openBytes = 0
   }
+
+  private _keep (block: Uint8Array): void {
+    this._blocks.push(block)
+    this._blockBytes += block.length
+  }
 }
 
 /** A copy of a block that is mostly empty. */
--- a/packages/node/src/node/callerServer.ts
+++ b/packages/node/src/node/callerServer.ts
@@ -5,6 +5,7 @@
 import type { CallerReply, CallerRequest } from '@trefoilshunt/core'
 import { applyBodySchema, type HttpReply, openBodySchema, promoteBodySchema, stepBodySchema, toChunkEvent, toHttpReply, toOpenRequest, toOutcomeEvents, toStepRequest } from '@trefoilshunt/protocol'
 import type { Settings } from '../common/settings.js'
+import { ConnectionGuard } from './connectionGuard.js'
 import { resolvePrincipal } from './credentials.js'
 import { readBody } from './readBody.js'
 
@@ -12,6 +13,8 @@
 const MAX_AUDIT_LIMIT = 500
 const MAX_PROGRAM_ID_CHARACTERS = 128
 const SOCKET_IDLE_MS = 60_000
+/** Requests of one connection that may be open at a time; those that follow wait unread. */
+const MAX_OPEN_REQUESTS = 64
 /** A caller for whom more of a stream is buffered reads too slowly; its connection is closed. */
 const MAX_UNREAD_BYTES = 1024 * 1024
 
@@ -64,8 +67,13 @@
   app.post('/v1/admin/promotions', forOperators(async context => await handlers.promote(context)))
   app.get('/v1/admin/audit', forOperators(context => handlers.audit(context)))
   app.get('/v1/admin/programs', forOperators(context => handlers.programs(context)))
-  const server = createServer({ maxHeaderSize: settings.limits.headerBytes, keepAliveTimeout: SOCKET_IDLE_MS }, (request, response) => {
-    void app.handler(request as never, response as never)
+  const server = createServer({ maxHeaderSize: settings.limits.headerBytes, keepAliveTimeout: SOCKET_IDLE_MS })
+  const guard = new ConnectionGuard({ server, maxOpenRequests: MAX_OPEN_REQUESTS, readTimeoutMs: () => SOCKET_IDLE_MS })
+  server.on('request', (request, response) => {
+    guard.begin(request, response, () => ({
+      start: () => { void app.handler(request as never, response as never) },
+      drop: () => sendError(response, 503, 'too many open requests on one connection')
+    }))
   })
   server.maxConnections = settings.limits.connections
   server.headersTimeout = settings.limits.requestReadMs
--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -1,8 +1,10 @@
 /** Connections between the nodes: every node opens a connection to every other node and sends its status and requests over it. */
 import { createConnection, createServer, isIPv4, type Server, type Socket } from 'node:net'
-import { type ClockReading, Emitter, type Event } from '@trefoilshunt/core'
+import { type ClockReading, ConnectionBudget, Emitter, type Event, type MemoryBudget, type MemoryClaim } from '@trefoilshunt/core'
 import { Packr } from 'msgpackr'
 import type { DocumentAge, NodeAddress, NodeStatus, PeerReply, PeerRequest } from '../../common/routed/routedPeerMessages.js'
+import { ByteCollector } from '../byteCollector.js'
+import { ClientLimit, type ClientLimitListener } from '../connectionGuard.js'
 import { readClocks, steadyNowMs } from '../steadyClock.js'
 import { type CompactStatus, compactStatus, expandStatus } from './statusCodec.js'
 import { heartbeatTimeoutMs } from './statusPeriod.js'
@@ -45,6 +47,11 @@
   documentAge?: () => DocumentAge | undefined
   /** Called when a peer that has received the status sent at `askedAt` tells the age of its document. */
   onDocumentAge?: (age: DocumentAge, askedAt: ClockReading) => void
+  /** Memory in which incomplete frames count that others send to this node. */
+  memory?: MemoryBudget
+  /** Connections of others that may be open at a time. */
+  maxAccepted?: number
+  onLimit?: ClientLimitListener
   /** Called when the connection that this node opened to a peer is established. */
   onConnected: (peer: string) => void
   /** Called when an established connection is closed, for whichever reason. */
@@ -81,11 +88,16 @@
   private readonly _packr = new Packr({ useRecords: false })
   private readonly _connections = new Map<string, PeerConnection>()
   private readonly _accepted = new Set<Socket>()
+  /** Of these, the connections on which a complete frame has arrived. */
+  private readonly _proven = new WeakSet<Socket>()
+  private readonly _budget: ConnectionBudget<Socket>
   private _server: Server | undefined
   private _lastId = 0
   private _isClosed = false
 
-  constructor (private readonly _options: PeerMeshOptions) {}
+  constructor (private readonly _options: PeerMeshOptions) {
+    this._budget = new ConnectionBudget({ maxConnections: _options.maxAccepted, isIdle: socket => !this._proven.has(socket) })
+  }
 
   /** Names of the peers to which connections are kept, connected or not. */
   get peers (): string[] {
@@ -264,6 +276,14 @@
   }
 
   private _accept (socket: Socket): void {
+    const address = socket.remoteAddress ?? ''
+    const { isAdmitted, evicted } = this._budget.open(address, socket)
+    if (!isAdmitted || evicted !== undefined) this._options.onLimit?.(evicted?.remoteAddress ?? address, ClientLimit.Connections, this._budget.count)
+    evicted?.destroy()
+    if (!isAdmitted) {
+      socket.destroy()
+      return
+    }
     this._accepted.add(socket)
     socket.setNoDelay(true)
     // The side that opened a connection reports its loss.
@@ -272,8 +292,18 @@
     const requester = { onDidClose: closed.event }
     socket.on('close', () => {
       this._accepted.delete(socket)
+      this._budget.close(address, socket)
+      claim?.close()
       closed.fire()
     })
+    const claim = this._options.memory?.open(address, {
+      isEvictable: true,
+      evict: () => {
+        this._options.onLimit?.(address, ClientLimit.Memory, 0)
+        socket.destroy()
+      },
+      resume: () => socket.resume()
+    })
     const bareAcknowledgement = this._encode({ t: 'p' })
     const acknowledge = (): void => {
       const documentAge = this._options.documentAge?.()
@@ -281,6 +311,7 @@
     }
     let from: NodeAddress | undefined
     this._readFrames(socket, frame => {
+      this._proven.add(socket)
       if (frame.t === 's') {
         from = frame.s.from
         acknowledge()
@@ -294,34 +325,38 @@
           if (!socket.destroyed) socket.write(this._encode({ t: 'r', i: frame.i, r: reply, l: isLast }))
         }, requester)
       }
-    })
+    }, claim)
   }
 
-  private _readFrames (socket: Socket, onFrame: (frame: Frame) => void): void {
-    let chunks: Buffer[] = []
-    let size = 0
+  /** `claim` counts the incomplete frame; without room for it, the connection waits. */
+  private _readFrames (socket: Socket, onFrame: (frame: Frame) => void, claim?: MemoryClaim): void {
+    const received = new ByteCollector()
+    let neededBytes = LENGTH_BYTES
     socket.on('data', chunk => {
-      chunks.push(chunk)
-      size += chunk.length
-      while (size >= LENGTH_BYTES) {
-        if (chunks[0].length < LENGTH_BYTES) chunks = [Buffer.concat(chunks)]
-        const length = chunks[0].readUInt32BE(0)
-        if (length > MAX_FRAME_BYTES) {
-          socket.destroy()
-          return
-        }
-        if (size < LENGTH_BYTES + length) return
-        const joined = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)
-        const rest = joined.subarray(LENGTH_BYTES + length)
-        chunks = rest.length === 0 ? [] : [rest]
-        size = rest.length
-        const frame = this._decode(joined.subarray(LENGTH_BYTES, LENGTH_BYTES + length))
-        if (frame === undefined) {
-          socket.destroy()
-          return
+      received.add(chunk)
+      if (received.byteCount >= neededBytes) {
+        let rest = received.concat()
+        neededBytes = LENGTH_BYTES
+        while (rest.length >= LENGTH_BYTES) {
+          const length = rest.readUInt32BE(0)
+          if (length > MAX_FRAME_BYTES) {
+            socket.destroy()
+            return
+          }
+          neededBytes = LENGTH_BYTES + length
+          if (rest.length < neededBytes) break
+          const frame = this._decode(rest.subarray(LENGTH_BYTES, neededBytes))
+          rest = rest.subarray(neededBytes)
+          neededBytes = LENGTH_BYTES
+          if (frame === undefined) {
+            socket.destroy()
+            return
+          }
+          onFrame(frame)
         }
-        onFrame(frame)
+        if (rest.length > 0) received.add(rest)
       }
+      if (claim !== undefined && !socket.destroyed && !claim.take(received.byteCount === 0 ? 0 : received.heldBytes, steadyNowMs())) socket.pause()
     })
   }
 
--- a/packages/node/src/node/routed/routedDaemon.ts
+++ b/packages/node/src/node/routed/routedDaemon.ts
@@ -1,7 +1,7 @@
 /** A node that serves routed requests: creates and connects its parts, starts them and stops them in order. */
 import { randomBytes } from 'node:crypto'
 import {
-  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, WorkerChoiceOptions
+  createContainer, DEFAULT_WORKER_CHOICE, IRandom, IRouteTable, IWorkerChoice, IWorkerNotices, IWorkerRegistry, IWorkerStatistics, type CallerLimits, type LogFields, type LogLevel, MemoryBudget, TokenBucket, WorkerChoiceOptions
 } from '@trefoilshunt/core'
 import { Metrics } from '../../common/metrics.js'
 import type { ILogClient } from '../../common/routed/logClient.js'
@@ -49,6 +49,8 @@
 /** Of these, the time in which the answers of the last requests reach their callers. */
 const LAST_ANSWERS_MS = 200
 const CLEANUP_PERIOD_MS = 10_000
+/** Clients that meet limits may do so thousands of times a second; the metrics count all of them. */
+const LIMIT_LINES_PER_S = 5
 
 export interface RoutedDaemonOptions {
   node: string
@@ -68,6 +70,10 @@
   stopGraceMs: number
   /** Longest time for which a withdrawn access key may be served, counted from the log's confirmation; undefined without a limit. */
   withdrawnKeyLimitMs?: number
+  /** Memory for callers' requests and their answers together; without a limit if absent. */
+  maxHeldBytes?: number
+  /** Connections that may be open at a time on the port for peers; without a limit if absent. */
+  maxPeerConnections?: number
   documentTopic: string
   documentKey: string
   workerTopic: string
@@ -89,6 +95,9 @@
  */
 export class RoutedDaemon {
   readonly metrics = new Metrics()
+  /** What is held of callers' requests and of their answers. */
+  readonly memory: MemoryBudget
+  private readonly _limitLines = new TokenBucket({ ratePerSecond: LIMIT_LINES_PER_S, burst: LIMIT_LINES_PER_S })
   private readonly _self: NodeAddress
   private readonly _routes: IRouteTable
   private readonly _registry: IWorkerRegistry
@@ -123,6 +132,7 @@
   constructor (private readonly _options: RoutedDaemonOptions) {
     const { node, zone, peerAddress, callerAddress, log } = _options
     this._self = { node, zone, peerAddress, callerAddress, incarnation: createIncarnation() }
+    this.memory = new MemoryBudget({ maxBytes: _options.maxHeldBytes })
     const container = createContainer({ seed: randomBytes(4).readInt32LE(), plugins: ['routing', 'workers'] })
     container.registerInstance(WorkerChoiceOptions, { ...DEFAULT_WORKER_CHOICE, ..._options.workerChoice })
     this._routes = container.resolve<IRouteTable>(IRouteTable)
@@ -149,6 +159,9 @@
     })
     this._mesh = new PeerMesh({
       self: this._self,
+      memory: this.memory,
+      maxAccepted: _options.maxPeerConnections,
+      onLimit: (address, limit, heldCount) => this.reportCallerLimit(address, limit, heldCount),
       onStatus: status => this._applyStatus(status),
       onRequest: (request, respond, requester) => this._handlePeerRequest(request, respond, requester),
       documentAge: () => this._clusterView.documentAge,
@@ -290,7 +303,7 @@
       durations: new RouteDurations(),
       workers: gateway,
       turns: this._turns,
-      heldBytes: new HeldBytes(),
+      heldBytes: new HeldBytes(undefined, this.memory),
       poisonRequestDetector: this._poisonRequestDetector,
       suspectGate: this._suspectGate,
       openRequests: this._openRequests,
@@ -348,9 +361,10 @@
     }
   }
 
-  /** To be called when the server for callers has closed a connection because of what its caller sent. */
-  reportClosedConnection (caller: string, detail: string): void {
-    this._write('warn', 'callerConnectionClosed', { caller, detail })
+  /** To be called when a client of one of this node's servers has met a limit; `heldCount` is what it held: connections, requests or bytes. */
+  reportCallerLimit (caller: string, limit: string, heldCount: number): void {
+    this.metrics.count('caller_limits', { limit })
+    if (this._limitLines.tryTake(steadyNowMs())) this._write('warn', 'callerConnectionClosed', { caller, limit, held: heldCount })
   }
 
   /** Addresses, `host:port`, to which callers of a zone should connect. */
@@ -404,6 +418,8 @@
       open_requests: this._openRequestCount,
       document_version: this._routes.version,
       busy_share: this._loopUtilization.read(),
+      caller_bytes_held: this.memory.heldBytes,
+      caller_bodies_waiting: this.memory.waitingCount,
       ...this._gauges.read()
     })
   }
