Count the output of requests without a known prompt until each has ended

Cause: WorkerTokens dropped a worker's entry once it held no prompt part, and with it the expected output of other requests without parts. Change: entries are removed with their last request. The test of shared parts covers it.

--- a/packages/core/src/common/workers/workerTokens.ts
+++ b/packages/core/src/common/workers/workerTokens.ts
@@ -7,6 +7,7 @@
 }
 
 interface WorkerEntry {
+  requestCount: number
   parts: Map<string, PartInUse>
   partTokens: number
   outputTokens: number
@@ -27,9 +28,10 @@
   begin (workerId: string, prompt: readonly PromptPart[], outputTokens: number): void {
     let worker = this._workers.get(workerId)
     if (worker === undefined) {
-      worker = { parts: new Map(), partTokens: 0, outputTokens: 0 }
+      worker = { requestCount: 0, parts: new Map(), partTokens: 0, outputTokens: 0 }
       this._workers.set(workerId, worker)
     }
+    worker.requestCount++
     worker.outputTokens += outputTokens
     for (const { id, tokens } of prompt) {
       const known = worker.parts.get(id) ?? { tokens: 0, requestCount: 0 }
@@ -43,6 +45,7 @@
   end (workerId: string, prompt: readonly PromptPart[], outputTokens: number): void {
     const worker = this._workers.get(workerId)
     if (worker === undefined) return
+    worker.requestCount--
     worker.outputTokens -= outputTokens
     for (const { id } of prompt) {
       const known = worker.parts.get(id)
@@ -50,7 +53,7 @@
       worker.partTokens -= known.tokens
       worker.parts.delete(id)
     }
-    if (worker.parts.size === 0) this._workers.delete(workerId)
+    if (worker.requestCount === 0) this._workers.delete(workerId)
   }
 
   /** Tokens in use if the worker got this request too. */
--- a/packages/core/test/common/workers/engineSpeed.test.ts
+++ b/packages/core/test/common/workers/engineSpeed.test.ts
@@ -138,6 +138,9 @@
   assert.is(tokens.tokensWith('w', [], 0), 1_110)
   tokens.end('w', prompts[1], 10)
   assert.is(tokens.tokensWith('w', [], 0), 0)
+  for (let index = 0; index < 2; index++) tokens.begin('w', [], 10)
+  tokens.end('w', [], 10)
+  assert.is(tokens.tokensWith('w', [], 0), 10, 'the output of a request without a known prompt')
 })
 
 test.run()
