PartitionHost: a test for lapses of the membership

A node whose membership lapsed must not use its quota buckets on if another node owned the partition in between, also when it gets the partition back. No test covered the count of lapses that tells this.

--- a/packages/node/test/node/routed/partitionHost.test.ts
+++ b/packages/node/test/node/routed/partitionHost.test.ts
@@ -161,4 +161,27 @@
   assert.is(logs[1].unansweredCount, 0)
 })
 
+// Guards against quota buckets that are used on although another node has granted from the same quota in between.
+test('a membership that may have expired while others served the partitions counts as lapsed, a short silence of the log does not', async () => {
+  const log = new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() })
+  const [ownLog, otherLog] = [new FakeLog(log), new FakeLog(log)]
+  const [host, other] = [createHost(ownLog, 'a'), createHost(otherLog, 'bb')]
+  host.start()
+  other.start()
+  await waitFor(() => servedPartitions([host, other]).length === PARTITIONS && host.served.length > 0 && other.served.length > 0)
+  const { lapseCount } = host
+  ownLog.isDown = true
+  await new Promise<void>(resolve => { setTimeout(resolve, TTL_MS / 4) })
+  ownLog.isDown = false
+  await waitFor(() => host.sinceLastJoinMs < TTL_MS / 8)
+  assert.is(host.lapseCount, lapseCount)
+  ownLog.isDown = true
+  await waitFor(() => other.served.length === PARTITIONS)
+  ownLog.isDown = false
+  await waitFor(() => host.isMembershipFresh)
+  assert.is(host.lapseCount, lapseCount + 1)
+  host.close()
+  other.close()
+})
+
 test.run()
