Peers keep their connections while callers exceed the memory

Cause: found by reading: a peer whose frame was incomplete while callers held more than the budget would wait, and lose its connection after a second. No test shows the fault itself.

--- a/packages/node/src/node/routed/peerMesh.ts
+++ b/packages/node/src/node/routed/peerMesh.ts
@@ -13,6 +13,8 @@
 const LENGTH_BYTES = 4
 /** Larger than any chain of turns that a node sends; a larger frame closes the connection. */
 const MAX_FRAME_BYTES = 64 * 1024 * 1024
+/** Peers that have sent a whole frame may send smaller ones also while callers have exceeded the memory: a wait would end the connection. */
+const SMALL_FRAME_BYTES = 256 * 1024
 /** Shortest time between two attempts to connect to a peer. */
 const REDIAL_INTERVAL_MS = 400
 const CONNECT_TIMEOUT_MS = 800
@@ -356,7 +358,10 @@
         }
         if (rest.length > 0) received.add(rest)
       }
-      if (claim !== undefined && !socket.destroyed && !claim.take(received.byteCount === 0 ? 0 : received.heldBytes, steadyNowMs())) socket.pause()
+      if (claim === undefined || socket.destroyed) return
+      const heldBytes = received.byteCount === 0 ? 0 : received.heldBytes
+      if (this._proven.has(socket) && heldBytes <= SMALL_FRAME_BYTES) claim.set(heldBytes)
+      else if (!claim.take(heldBytes, steadyNowMs())) socket.pause()
     })
   }
 
