Quotas: a bucket holds ten credits beyond the burst

Most accounts have a quota of a few requests a second, and a program needs as many while it runs. The bound allows 20 requests beyond the quota in a window; a later owner needs 8 of them at most.

--- a/packages/core/src/common/accounts/quotaOwner.ts
+++ b/packages/core/src/common/accounts/quotaOwner.ts
@@ -18,11 +18,18 @@
   ownerTtlMs: number
   /** Credits of each account that are granted in that time, by an owner that doesn't know whether there is another. */
   limitedCredits?: number
+  /** Credits that a bucket holds beyond the burst of its account. */
+  burstAllowance?: number
   /** Unused credits are taken back up to this time after they were granted. Those of a lease expire after 400 ms, so that nothing is taken back that still counts in a bucket of an earlier time. */
   maxReturnAgeMs?: number
 }
 
 const DEFAULT_LIMITED_CREDITS = 8
+/**
+ * With the limited credits of a later owner, within the 20 requests by which a window may exceed the quota. Most accounts have a quota of a few requests a second,
+ * which a single program needs while it runs, so that without this programs of accounts far below their quota were refused.
+ */
+const DEFAULT_BURST_ALLOWANCE = 10
 const DEFAULT_MAX_RETURN_AGE_MS = 500
 /** The state of a partition that was given up is kept this long for the next owner. */
 const RELEASED_RETENTION_MS = 10_000
@@ -86,11 +93,17 @@
     if (state.limitedUntilMs > nowMs) return
     for (const bucket of buckets) {
       const [account] = bucket
-      const quota = this._options.quotaOf(account)
+      const quota = this._quotaOf(account)
       if (quota !== undefined && quota !== 'none') state.buckets.set(account, QuotaBucket.fromState(bucket, quota, state.limitedGrants.get(account) ?? 0, nowMs))
     }
   }
 
+  private _quotaOf (account: string): AccountQuota | 'none' | undefined {
+    const quota = this._options.quotaOf(account)
+    if (quota === undefined || quota === 'none') return quota
+    return { ratePerS: quota.ratePerS, burst: quota.burst + (this._options.burstAllowance ?? DEFAULT_BURST_ALLOWANCE) }
+  }
+
   /** Stops granting and keeps the buckets for the next owner. */
   release (partition: number, nowMs: number): void {
     const state = this._partitions.get(partition)
@@ -110,7 +123,7 @@
     const state = this._partitions.get(partition)
     if (state === undefined || state.releasedAtMs !== undefined) return undefined
     const [account, known, begins, prefetch, , returns] = take
-    const quota = this._options.quotaOf(account)
+    const quota = this._quotaOf(account)
     if (quota === undefined) return undefined
     if (quota === 'none') return [known.map(() => 0), begins.map(() => 0), prefetch, Math.floor(nowMs), []]
     if (nowMs < state.limitedUntilMs) return this._takeLimited(state, take, quota, nowMs)
--- a/packages/core/test/common/accounts/quotas.test.ts
+++ b/packages/core/test/common/accounts/quotas.test.ts
@@ -3,8 +3,8 @@
  *
  * The bound: in any window of W = 5 s, at most (rate x W + burst) x 1.1 + 20 requests of an account are sent. Proof: a request uses a credit, which was granted at most 400 ms
  * before its use, and what is not used is taken back at most 500 ms after its grant. So the credits that are used in a window are at most those that the owner's bucket holds
- * 500 ms before it, at most burst, and those of its refill from then on: rate x (W + 0.5 s) + burst <= 1.1 x (rate x W + burst). A later owner starts with
- * the bucket of the earlier one, or with an empty one once the earlier one can't grant any more; before that it grants at most 8, which is within the 20.
+ * 500 ms before it, at most burst + 10, and those of its refill from then on: rate x (W + 0.5 s) + burst + 10 <= 1.1 x (rate x W + burst) + 10. A later owner starts
+ * with the bucket of the earlier one, or with an empty one once the earlier one can't grant any more; before that it grants at most 8, and 10 + 8 is within the 20.
  */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
