Review: case 10, a partition without an owner after a late call

Cause: a later process may use a lower epoch than its earlier process has sent, and a fenced partition isn't taken over again in its generation.

--- a/review/standins-2/log.mjs
+++ b/review/standins-2/log.mjs
@@ -7,6 +7,8 @@
 const PAGE_BYTES = 1_000_000
 const READ_BYTES = 1_048_576
 const RECENT_APPENDS = 5
+const MIN_LATE_MS = 1_000
+const MAX_LATE_MS = 6_000
 
 /** Nothing is lost while the process runs. */
 export class Log {
@@ -16,9 +18,18 @@
   calls = new Map()
   _partitions = new Map()
   _groups = new Map()
+  _lostChannels = new WeakSet()
 
   /** Hosts of the log whose callers get no answer; each machine may call it at a host of its own. */
   turnedAway = new Set()
+  /** Share of the appends of one host that are carried out later, 1 to 6 s, and not answered. */
+  late = { host: undefined, share: 0 }
+  /** Raised epochs that were carried out late, with what they have replaced. */
+  lateEpochs = []
+  /** Late calls so far that raise an epoch. */
+  lateRaises = 0
+  /** Late calls that are not carried out yet. */
+  lateCount = 0
   _servers = []
 
   constructor ({ port, parts }) {
@@ -66,7 +77,7 @@
     for await (const chunk of request) chunks.push(chunk)
     const body = Buffer.concat(chunks)
     const { pathname, searchParams } = new URL(request.url, 'http://log')
-    if (this.turnedAway.has(request.socket.localAddress)) return
+    if (this.turnedAway.has(request.socket.localAddress) || this._lostChannels.has(request.socket)) return
     this.calls.set(pathname, (this.calls.get(pathname) ?? 0) + 1)
     const partition = () => this._partitionOf(searchParams.get('topic'), Number(searchParams.get('part')))
     switch (pathname) {
@@ -90,6 +101,12 @@
       offset += 4 + length
     }
     if (body.length > CALL_BYTES) return answer(response, 413, { error: 'call' })
+    if (this.late.host === response.socket.localAddress && Math.random() < this.late.share) {
+      this._appendLate(partition, query, records)
+      // A channel on which a response is lost returns nothing further.
+      this._lostChannels.add(response.socket)
+      return
+    }
     // Appends of a partition are carried out one after the other.
     partition.turn = partition.turn.then(async () => {
       await new Promise(resolve => setTimeout(resolve, this.appendMs))
@@ -99,6 +116,17 @@
     await partition.turn
   }
 
+  _appendLate (partition, query, records) {
+    this.lateCount++
+    if (records.length === 0) this.lateRaises++
+    setTimeout(() => {
+      const earlier = partition.producers.get(query.get('producer'))?.epoch
+      const { status } = this._appendNow(partition, query, records)
+      this.lateCount--
+      if (records.length === 0 && status === 200 && Number(query.get('epoch')) > earlier) this.lateEpochs.push({ part: Number(query.get('part')), earlier, epoch: Number(query.get('epoch')) })
+    }, MIN_LATE_MS + Math.random() * (MAX_LATE_MS - MIN_LATE_MS))
+  }
+
   _appendNow (partition, query, records) {
     const producer = query.get('producer')
     if (producer === null) return this._store(partition, records)
--- a/review/standins-2/node.mjs
+++ b/review/standins-2/node.mjs
@@ -7,6 +7,8 @@
 
 /** Several cases may run at the same time. */
 export const NETWORK = `127.0.${10 + Math.floor(Math.random() * 200)}`
+/** The platform starts a process again after this. */
+const RESTART_MS = 150
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../..')
 
 /** What the platform tells a process of a small deployment (three zones, 220 MB). `overrides` replaces fields. */
@@ -62,7 +64,7 @@
     child.stderr.on('data', keep)
     child.once('exit', (code, signal) => {
       this.ends.push(String(signal ?? code))
-      if (!this._isStopped) this._restart = setTimeout(() => this.start(), 500)
+      if (!this._isStopped) this._restart = setTimeout(() => this.start(), RESTART_MS)
     })
   }
 
