Review: stand-ins end their processes on a signal and keep more output

Cause: a script that is ended from outside left its processes, and the line that names the coordinator could be lost in long logs. Change: signals end a case as not run; 4 MB of output of each process are kept.

--- a/review/standins-2/case.mjs
+++ b/review/standins-2/case.mjs
@@ -20,6 +20,7 @@
     await fleet?.stop()
     process.exit(code)
   }
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => { void finish(2, `not run: ${signal}`) })
   setTimeout(() => { void finish(2, 'not run: out of time') }, MAX_RUN_MS)
   try {
     fleet = await startFleet(fleetOptions)
--- a/review/standins-2/node.mjs
+++ b/review/standins-2/node.mjs
@@ -7,6 +7,7 @@
 
 /** Several cases may run at the same time. */
 export const NETWORK = `127.0.${10 + Math.floor(Math.random() * 200)}`
+const MAX_OUTPUT_CHARACTERS = 4_000_000
 /** The platform starts a process again after this. */
 const RESTART_MS = 150
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../..')
@@ -59,7 +60,7 @@
     writeFileSync(file, render(readFileSync(join(ROOT, template), 'utf8'), this.fields))
     const child = spawn(program === 'node' ? process.execPath : program, words, { cwd: ROOT, env: { PATH: process.env.PATH, HOME: this._folder, TREFOILSHUNT_NODE_FILE: file }, stdio: ['ignore', 'pipe', 'pipe'] })
     this._child = child
-    const keep = chunk => { this.output = `${this.output}${chunk}`.slice(-400_000) }
+    const keep = chunk => { this.output = `${this.output}${chunk}`.slice(-MAX_OUTPUT_CHARACTERS) }
     child.stdout.on('data', keep)
     child.stderr.on('data', keep)
     child.once('exit', (code, signal) => {
