--- a/packages/node/src/node/routed/accounts/quotaService.ts
+++ b/packages/node/src/node/routed/accounts/quotaService.ts
@@ -3,8 +3,8 @@
 import type { PeerRequest } from '../../../common/routed/routedPeerMessages.js'
 import { steadyNowMs } from '../../steadyClock.js'
 import type { NodeDirectory } from '../nodeDirectory.js'
-import type { PartitionHost } from '../partitionHost.js'
-import type { PartitionOwner } from '../partitionOwner.js'
+import type { PartitionHost } from '../owners/partitionHost.js'
+import type { PartitionOwner } from '../owners/partitionOwner.js'
 import type { PeerMesh, PeerResponder } from '../peerMesh.js'
 
 /** Requests that wait for a handover wait for 300 ms at most, and need the rest of that time for their question. */
--- a/packages/node/src/node/routed/appendQueue.ts
+++ b/packages/node/src/node/routed/owners/appendQueue.ts
@@ -1,9 +1,9 @@
 /** Appends the records of one partition in order and repeats each append until it is in the log. */
 import type { KeyedRecord, LogFields } from '@trefoilshunt/core'
-import type { AppendResult, ILogClient } from '../../common/routed/logClient.js'
-import { delay, steadyNowMs } from '../steadyClock.js'
-import type { LogResponseTime } from './logResponseTime.js'
-import { groupRecords, sizeOfRecords } from './recordParts.js'
+import type { AppendResult, ILogClient } from '../../../common/routed/logClient.js'
+import { delay, steadyNowMs } from '../../steadyClock.js'
+import type { LogResponseTime } from '../logResponseTime.js'
+import { groupRecords, sizeOfRecords } from '../recordParts.js'
 
 /** All owners append under one producer name, so that the log refuses earlier owners once it has a higher epoch. */
 export const PRODUCER = 'owner'
--- a/packages/node/src/node/routed/partitionHost.ts
+++ b/packages/node/src/node/routed/owners/partitionHost.ts
@@ -1,8 +1,8 @@
 /** Keeps this node in the log's member group and runs a `PartitionOwner` for each partition that the group assigns to it. */
 import type { IRandom, LogFields } from '@trefoilshunt/core'
-import type { ILogClient } from '../../common/routed/logClient.js'
-import { delay, steadyNowMs } from '../steadyClock.js'
-import { LogResponseTime, type TimeoutLimits } from './logResponseTime.js'
+import type { ILogClient } from '../../../common/routed/logClient.js'
+import { delay, steadyNowMs } from '../../steadyClock.js'
+import { LogResponseTime, type TimeoutLimits } from '../logResponseTime.js'
 import { EPOCHS_PER_GENERATION, OwnerState, PartitionOwner, TURN_TOPIC } from './partitionOwner.js'
 
 const MEMBER_GROUP = 'turn-owners'
--- a/packages/node/src/node/routed/partitionOwner.ts
+++ b/packages/node/src/node/routed/owners/partitionOwner.ts
@@ -1,10 +1,10 @@
 /** One partition of turns and token accounts while this node owns it: recovers its state from the log and is its only writer. */
 import { type CachedPart, type GrantRequest, type IRandom, isAccountKey, type RetainedTurn, type KeyedRecord, type LogFields, PartitionState, type TurnEnd } from '@trefoilshunt/core'
-import type { ILogClient } from '../../common/routed/logClient.js'
-import { delay, steadyNowMs } from '../steadyClock.js'
+import type { ILogClient } from '../../../common/routed/logClient.js'
+import { delay, steadyNowMs } from '../../steadyClock.js'
 import { AppendQueue, describeFailedAppend, PRODUCER, type RecordOutcome } from './appendQueue.js'
-import type { LogResponseTime } from './logResponseTime.js'
-import { groupRecords } from './recordParts.js'
+import type { LogResponseTime } from '../logResponseTime.js'
+import { groupRecords } from '../recordParts.js'
 
 /** Topic of the records of turns and accounts. */
 export const TURN_TOPIC = 'keyed.turns'
--- a/packages/node/src/node/routed/turnService.ts
+++ b/packages/node/src/node/routed/turnService.ts
@@ -3,8 +3,8 @@
 import type { EndReply, GrantReply, PeerReply, PeerRequest } from '../../common/routed/routedPeerMessages.js'
 import { delay, steadyNowMs } from '../steadyClock.js'
 import type { NodeDirectory } from './nodeDirectory.js'
-import type { PartitionHost } from './partitionHost.js'
-import type { Grant, PartitionOwner } from './partitionOwner.js'
+import type { PartitionHost } from './owners/partitionHost.js'
+import type { Grant, PartitionOwner } from './owners/partitionOwner.js'
 import type { PeerMesh, PeerResponder } from './peerMesh.js'
 
 /** Time-out of a grant at a peer; well above a round trip between zones with an append. Ends get twice as long. */
--- a/packages/node/test/node/routed/faultInjectingLog.ts
+++ b/packages/node/test/node/routed/owners/faultInjectingLog.ts
@@ -2,7 +2,7 @@
 import type { SeededRandom } from '@trefoilshunt/core'
 import type { KeyedLog } from '@trefoilshunt/standins'
 import type { AppendRequest, AppendResult, ILogClient, JoinRequest, JoinResult, NewestRequest, NewestResult, ReadResult } from '@trefoilshunt/node'
-import type { VirtualTime } from './virtualTime.js'
+import type { VirtualTime } from '../virtualTime.js'
 
 const PAGE_RECORDS = 20
 const MAX_LATENCY_MS = 6
--- a/packages/node/test/node/routed/ownerSearch.test.ts
+++ b/packages/node/test/node/routed/owners/ownerSearch.test.ts
@@ -6,10 +6,10 @@
 import * as assert from 'uvu/assert'
 import { hash32, SeededRandom } from '@trefoilshunt/core'
 import { KeyedLog } from '@trefoilshunt/standins'
-import { PartitionHost } from '../../../src/node/routed/partitionHost.js'
-import type { PartitionOwner } from '../../../src/node/routed/partitionOwner.js'
+import { PartitionHost } from '../../../../src/node/routed/owners/partitionHost.js'
+import type { PartitionOwner } from '../../../../src/node/routed/owners/partitionOwner.js'
 import { FaultInjectingLog, type LogFaults } from './faultInjectingLog.js'
-import { VirtualTime } from './virtualTime.js'
+import { VirtualTime } from '../virtualTime.js'
 
 const PARTITIONS = 3
 const NODES = ['a', 'b', 'c']
--- a/packages/node/test/node/routed/partitionHost.test.ts
+++ b/packages/node/test/node/routed/owners/partitionHost.test.ts
@@ -3,8 +3,8 @@
 import * as assert from 'uvu/assert'
 import { SeededRandom } from '@trefoilshunt/core'
 import { KeyedLog } from '@trefoilshunt/standins'
-import { PartitionHost } from '../../../src/node/routed/partitionHost.js'
-import { FakeLog } from './fakeLog.js'
+import { PartitionHost } from '../../../../src/node/routed/owners/partitionHost.js'
+import { FakeLog } from '../fakeLog.js'
 
 const PARTITIONS = 4
 const TTL_MS = 400
--- a/packages/node/test/node/routed/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/owners/partitionOwner.test.ts
@@ -2,10 +2,10 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { type GrantRequest, type RetainedTurn, SeededRandom, type TurnEnd } from '@trefoilshunt/core'
-import { EPOCHS_PER_GENERATION, PartitionOwner, TURN_TOPIC } from '../../../src/node/routed/partitionOwner.js'
-import { LogResponseTime } from '../../../src/node/routed/logResponseTime.js'
-import { FakeLog } from './fakeLog.js'
-import { VirtualTime } from './virtualTime.js'
+import { EPOCHS_PER_GENERATION, PartitionOwner, TURN_TOPIC } from '../../../../src/node/routed/owners/partitionOwner.js'
+import { LogResponseTime } from '../../../../src/node/routed/logResponseTime.js'
+import { FakeLog } from '../fakeLog.js'
+import { VirtualTime } from '../virtualTime.js'
 
 const MAX_RECORD_BYTES = 4_096
 const MAX_CALL_BYTES = 100_000
