Owners: processes of one node never share an epoch, and claim them in one order

What callers saw: a turn that was answered whole could be missing for the turn that continues it, and a call of an ended process that the log executed late fenced the process that served the partition then.

Cause: an owner began at a random epoch of its generation and stepped up at random. Two processes of one node could use the same epoch, which the log doesn't fence: an append of the later process with a number that the earlier one had used counted as its repeat and was answered, but not stored. And a later process could use a lower epoch than one that an earlier process had sent and the log had not executed yet.

Change: an owner claims its epoch by an append of one record without a value (the log keeps nothing of it), numbered at random; the log refuses it under an epoch that another process has claimed. All processes try the same epochs in the same order, so that a claim which is executed late is below the epoch in use, or equal to it and out of sequence. An append out of sequence ends the ownership, where the owner took over the expected number before.

--- a/packages/node/src/node/routed/owners/appendQueue.ts
+++ b/packages/node/src/node/routed/owners/appendQueue.ts
@@ -1,5 +1,5 @@
 /** Appends the records of one partition in order and repeats each append until it is in the log. */
-import type { KeyedRecord, LogFields } from '@trefoilshunt/core'
+import { type KeyedRecord, type LogFields, PartitionLoss } from '@trefoilshunt/core'
 import type { AppendResult, ILogClient } from '../../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../../steadyClock.js'
 import type { LogResponseTime } from '../logResponseTime.js'
@@ -25,8 +25,8 @@
   maxAppendBytes: number
   /** Shared by all partitions of the node. */
   responseTime: LogResponseTime
-  /** Called once, when the log refuses an append because another owner has a higher epoch. The caller then calls `stop`. */
-  onFenced: () => void
+  /** Called once, when the log refuses an append because of another owner. The caller then calls `stop`. */
+  onLost: (loss: PartitionLoss) => void
   /** Writes a log line. */
   write: (event: string, fields: LogFields) => void
 }
@@ -52,7 +52,7 @@
  * never accepts is dropped, so that the ones behind it don't wait for it.
  *
  * @example
- * queue.start(epoch)
+ * queue.start(epoch, sequence)
  * if (await queue.append(records) === 'recorded') answer()
  */
 export class AppendQueue {
@@ -77,9 +77,10 @@
     return this._inFlightSinceMs === undefined ? 0 : steadyNowMs() - this._inFlightSinceMs
   }
 
-  /** Starts to send under an epoch that the log has accepted. Earlier appends wait for this. */
-  start (epoch: number): void {
+  /** Starts to send under an epoch of which the log has accepted the append `sequence`. Earlier appends wait for this. */
+  start (epoch: number, sequence: number): void {
     this._epoch = epoch
+    this._sequence = sequence
     this._sendNext()
   }
 
@@ -174,14 +175,14 @@
       })
       if (this._isStopped) return
       if (result.type === 'unknown') unansweredCount++
-      else if (result.type === 'outOfSequence') this._sequence = result.expected
       if (result.type === 'appended') {
         this._options.responseTime.recordAnswer(steadyNowMs() - sentMs)
         this._completeBatch(batch)
         return
       }
-      if (result.type === 'fenced') {
-        this._options.onFenced()
+      if (result.type === 'fenced' || result.type === 'outOfSequence') {
+        // Only another owner under the same epoch moves the sequence. What it has recorded must be read before anything else is.
+        this._options.onLost(result.type === 'fenced' ? PartitionLoss.Fenced : PartitionLoss.OutOfSequence)
         return
       }
       if (result.type === 'rejected') {
@@ -190,7 +191,7 @@
         return
       }
       this._options.write('appendRepeated', { partition: this._options.partition, epoch, sequence: this._sequence, tries, detail: describeFailedAppend(result) })
-      if (result.type !== 'outOfSequence') await delay(Math.min(MAX_RETRY_MS, RETRY_MS * tries))
+      await delay(Math.min(MAX_RETRY_MS, RETRY_MS * tries))
     }
   }
 
@@ -221,5 +222,5 @@
 
 /** The reason why an append failed, for log lines. */
 export function describeFailedAppend (result: AppendResult): string {
-  return 'detail' in result ? result.detail : result.type === 'outOfSequence' ? `expected ${result.expected}` : result.type
+  return 'detail' in result ? result.detail : result.type
 }
--- a/packages/node/src/node/routed/owners/partitionHost.ts
+++ b/packages/node/src/node/routed/owners/partitionHost.ts
@@ -3,7 +3,7 @@
 import type { ILogClient } from '../../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../../steadyClock.js'
 import { LogResponseTime, type TimeoutLimits } from '../logResponseTime.js'
-import { EPOCHS_PER_GENERATION, OwnerState, PartitionOwner, TURN_TOPIC } from './partitionOwner.js'
+import { OwnerState, PartitionOwner, TURN_TOPIC } from './partitionOwner.js'
 
 const MEMBER_GROUP = 'turn-owners'
 /** Joins sent within one time to live of the membership, so that three of them may fail. */
@@ -60,10 +60,10 @@
 export class PartitionHost {
   private readonly _owners = new Map<number, PartitionOwner>()
   /**
-   * Generation in which each partition was last fenced by another owner. The partition is taken over again only when a later
+   * Generation in which each partition was last lost to another owner. The partition is taken over again only when a later
    * generation assigns it.
    */
-  private readonly _fencedGenerations = new Map<number, number>()
+  private readonly _lostGenerations = new Map<number, number>()
   private _generation = 0
   private _membershipChangedAtMs = Number.NEGATIVE_INFINITY
   /** True if partitions were given up after the latest join: the group moves them when this node has joined again. */
@@ -232,8 +232,8 @@
     await Promise.all(revoked.map(async owner => await owner.close(HANDOVER_TIMEOUT_MS)))
     for (const owner of revoked) this._removeOwner(owner, 'reassigned')
     for (const partition of assigned) {
-      const isFenced = generation <= (this._fencedGenerations.get(partition) ?? 0)
-      if (!this._owners.has(partition) && !isFenced) this._addOwner(partition, generation)
+      const isLost = generation <= (this._lostGenerations.get(partition) ?? 0)
+      if (!this._owners.has(partition) && !isLost) this._addOwner(partition, generation)
     }
   }
 
@@ -249,7 +249,10 @@
       sinceLogResponseMs,
       random,
       write,
-      onLost: (lost, detail) => this._removeOwner(lost, detail),
+      onLost: (lost, loss) => {
+        this._lostGenerations.set(partition, generation)
+        this._removeOwner(lost, loss)
+      },
       onServing: onChanged
     })
     this._owners.set(partition, owner)
@@ -270,7 +273,6 @@
 
   private _removeOwner (owner: PartitionOwner, detail: string): void {
     if (this._owners.get(owner.partition) === owner) this._owners.delete(owner.partition)
-    if (detail === 'fenced') this._fencedGenerations.set(owner.partition, Math.floor(owner.epoch / EPOCHS_PER_GENERATION))
     owner.lose(detail)
     this._options.onChanged()
   }
--- a/packages/node/src/node/routed/owners/partitionOwner.ts
+++ b/packages/node/src/node/routed/owners/partitionOwner.ts
@@ -1,5 +1,5 @@
 /** One partition of turns and token accounts while this node owns it: recovers its state from the log and is its only writer. */
-import { type CachedPart, type GrantRequest, type IRandom, isAccountKey, type RetainedTurn, type KeyedRecord, type LogFields, PartitionState, type TurnEnd } from '@trefoilshunt/core'
+import { type CachedPart, epochAfterCollision, EPOCHS_PER_GENERATION, type GrantRequest, type IRandom, isAccountKey, type RetainedTurn, type KeyedRecord, type LogFields, nextEpoch, PartitionLoss, PartitionState, type TurnEnd } from '@trefoilshunt/core'
 import type { ILogClient } from '../../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../../steadyClock.js'
 import { AppendQueue, describeFailedAppend, PRODUCER, type RecordOutcome } from './appendQueue.js'
@@ -24,8 +24,10 @@
 const RETENTION_MARGIN_MS = 5_000
 /** Period at which a closing owner checks whether records are still to be appended. */
 const CLOSE_POLL_MS = 10
-/** Number of epochs of one generation of the member group. A node that restarts within a generation takes a higher one of them. */
-export const EPOCHS_PER_GENERATION = 2 ** 20
+/** Key of the record that claims an epoch. It never has a value, so that the log keeps nothing of it and owners of earlier builds read nothing. */
+const CLAIM_KEY = 'claim'
+/** Appends of an owner are numbered from a random number below this on, so that those of another process under the same epoch don't fit. */
+const MAX_FIRST_SEQUENCE = 2 ** 30
 
 /**
  * `Waiting`: not recovering yet. `Recovering`: fencing earlier owners and reading accounts. `Serving`: grants turns.
@@ -38,6 +40,8 @@
   partition: number
   /** Generation of the member group that assigned the partition to this node. */
   generation: number
+  /** The epoch under which this process owned the partition before and lost it; undefined for the first time. */
+  outdatedEpoch?: number
   log: ILogClient
   /** Shared by all partitions of the node. */
   responseTime: LogResponseTime
@@ -47,8 +51,8 @@
   /** Milliseconds since the log last answered this node. */
   sinceLogResponseMs: () => number
   random: IRandom
-  /** Called when another owner has fenced this one; the receiver calls `lose`. */
-  onLost: (owner: PartitionOwner, detail: string) => void
+  /** Called when there is another owner; the receiver calls `lose`. */
+  onLost: (owner: PartitionOwner, loss: PartitionLoss) => void
   /** Called once, when turns can be granted. */
   onServing: (owner: PartitionOwner) => void
   /** Writes a log line. */
@@ -80,6 +84,8 @@
   readonly partition: number
   private readonly _partitionState: PartitionState
   private _epoch: number
+  /** Number of the append that claims the epoch. */
+  private readonly _firstSequence: number
   private _ownerState: OwnerState = OwnerState.Waiting
   private _isHistoryComplete = false
   private _isClosing = false
@@ -95,8 +101,8 @@
 
   constructor (private readonly _options: PartitionOwnerOptions) {
     this.partition = _options.partition
-    const firstEpoch = _options.generation * EPOCHS_PER_GENERATION
-    this._epoch = firstEpoch + _options.random.nextInt(EPOCHS_PER_GENERATION / 2)
+    this._epoch = Math.max(_options.generation * EPOCHS_PER_GENERATION, _options.outdatedEpoch ?? 0)
+    this._firstSequence = _options.random.nextInt(MAX_FIRST_SEQUENCE)
     this._partitionState = new PartitionState({ maxRecordBytes: _options.maxRecordBytes, retentionMarginMs: RETENTION_MARGIN_MS })
     this._queue = new AppendQueue({
       topic: TURN_TOPIC,
@@ -104,12 +110,12 @@
       log: _options.log,
       responseTime: _options.responseTime,
       maxAppendBytes: _options.maxAppendBytes,
-      onFenced: () => _options.onLost(this, 'fenced'),
+      onLost: loss => _options.onLost(this, loss),
       write: _options.write
     })
   }
 
-  /** Epoch under which this node appends; the log refuses appends of lower epochs. */
+  /** Epoch under which this node appends, or which it claims next; the log refuses appends of lower epochs. */
   get epoch (): number {
     return this._epoch
   }
@@ -155,8 +161,8 @@
   async recover (): Promise<void> {
     const startedMs = steadyNowMs()
     this._ownerState = OwnerState.Recovering
-    if (!await this._raiseEpoch()) return
-    this._queue.start(this._epoch)
+    if (!await this._claimEpoch()) return
+    this._queue.start(this._epoch, this._firstSequence)
     let afterKey: string | undefined
     let recordCount = 0
     for (;;) {
@@ -321,32 +327,39 @@
   }
 
   /**
-   * Raises the epoch above every one used before; false when the partition is lost meanwhile. Higher epochs of this generation
-   * belong to earlier starts of this node. The steps are random.
+   * Claims an epoch above all that owners have appended under; false when the partition is lost meanwhile. The claim is an append, so that
+   * the log refuses it under an epoch that another process has claimed, also while no epoch above that is known.
    */
-  private async _raiseEpoch (): Promise<boolean> {
-    const endEpoch = (this._options.generation + 1) * EPOCHS_PER_GENERATION
-    for (;;) {
+  private async _claimEpoch (): Promise<boolean> {
+    const { generation, outdatedEpoch, log, responseTime } = this._options
+    let epoch = nextEpoch(generation, outdatedEpoch)
+    while (epoch !== undefined) {
+      this._epoch = epoch
       if (this._isLost()) return false
       const sentMs = steadyNowMs()
-      const result = await this._options.log.append({
-        topic: TURN_TOPIC, partition: this.partition, records: [], producer: { producer: PRODUCER, epoch: this._epoch }, timeoutMs: this._recoverTimeoutMs
+      const result = await log.append({
+        topic: TURN_TOPIC,
+        partition: this.partition,
+        records: [{ key: CLAIM_KEY }],
+        producer: { producer: PRODUCER, epoch, sequence: this._firstSequence },
+        timeoutMs: this._recoverTimeoutMs
       })
-      if (result.type === 'appended') {
-        this._options.responseTime.recordAnswer(steadyNowMs() - sentMs)
-        return true
-      }
-      if (result.type === 'fenced') {
-        const headroom = endEpoch - this._epoch - 1
-        if (headroom <= 1) {
-          this._options.onLost(this, 'fenced')
-          return false
-        }
-        this._epoch += 1 + this._options.random.nextInt(Math.ceil(headroom / 2))
-        continue
+      switch (result.type) {
+        case 'appended':
+          responseTime.recordAnswer(steadyNowMs() - sentMs)
+          return true
+        case 'fenced':
+          epoch = nextEpoch(generation, epoch)
+          break
+        case 'outOfSequence':
+          epoch = epochAfterCollision(generation, epoch)
+          break
+        default:
+          await this._delayRecovery(describeFailedAppend(result))
       }
-      await this._delayRecovery(describeFailedAppend(result))
     }
+    if (!this._isLost()) this._options.onLost(this, PartitionLoss.EpochsExhausted)
+    return false
   }
 
   private get _recoverTimeoutMs (): number {
--- a/packages/node/test/node/routed/fakeLog.ts
+++ b/packages/node/test/node/routed/fakeLog.ts
@@ -31,10 +31,28 @@
   /** Sizes of the calls that were appended or rejected. */
   readonly callBytes: number[] = []
   rejectedCount = 0
+  /** True while appends are neither answered nor executed before `executeHeldAppends`, which may be after the end of the process that sent them. */
+  holdsAppends = false
+  private readonly _heldAppends: AppendRequest[] = []
 
   constructor (readonly log = new KeyedLog({ partitionCount: 4, nowMs: () => performance.now() })) {}
 
-  async append ({ topic, partition, records, producer, timeoutMs }: AppendRequest): Promise<AppendResult> {
+  get heldAppendCount (): number {
+    return this._heldAppends.length
+  }
+
+  /** Executes the held appends in the order of their sending, if their conditions still hold. */
+  executeHeldAppends (): void {
+    for (const { topic, partition, records, producer } of this._heldAppends.splice(0)) this.log.append(topic, partition, records, producer)
+  }
+
+  async append (request: AppendRequest): Promise<AppendResult> {
+    const { topic, partition, records, producer, timeoutMs } = request
+    if (this.holdsAppends) {
+      this._heldAppends.push(request)
+      await pause(timeoutMs)
+      return { type: 'unknown', detail: 'no answer' }
+    }
     const isAnswered = await this._waitForAnswer(timeoutMs)
     if (this.isDown) return { type: 'refused', detail: 'down' }
     this.appendCount++
--- a/packages/node/test/node/routed/owners/partitionHost.test.ts
+++ b/packages/node/test/node/routed/owners/partitionHost.test.ts
@@ -9,7 +9,7 @@
 const PARTITIONS = 4
 const TTL_MS = 400
 
-function createHost (log: FakeLog, member: string, hasLivePeers: () => boolean = () => true, memberTtlMs = TTL_MS, hasUnservedPartition?: () => boolean): PartitionHost {
+function createHost (log: FakeLog, member: string, hasLivePeers: () => boolean = () => true, memberTtlMs = TTL_MS, hasUnservedPartition?: () => boolean, seed = member.length): PartitionHost {
   return new PartitionHost({
     member,
     log,
@@ -20,7 +20,7 @@
     sinceLogResponseMs: () => 0,
     hasLivePeers,
     hasUnservedPartition,
-    random: new SeededRandom(member.length),
+    random: new SeededRandom(seed),
     onChanged: () => {},
     write: (event, fields) => { if (process.env.DBG !== undefined) console.log(Math.round(performance.now()), member, event, JSON.stringify(fields)) }
   })
@@ -209,4 +209,43 @@
   other.close()
 })
 
+/** A process of the node 'a'; the log knows those of one name as one member. */
+function startProcess (log: FakeLog, seed: number): PartitionHost {
+  const host = createHost(log, 'a', undefined, undefined, undefined, seed)
+  host.start()
+  return host
+}
+
+/** True if a turn of the partition is granted and recorded in one of five tries; the first one may find that the partition has another owner. */
+async function recordsTurn (host: PartitionHost, partition: number, turnId: string): Promise<boolean> {
+  for (let tries = 0; tries < 5; tries++) {
+    const turn = { turnId, programId: turnId, input: new Uint8Array(1), output: new Uint8Array(1), keepMs: 60_000 }
+    if (await host.find(partition)?.end({ programId: turnId, requestId: turnId, usedTokens: 1, worker: 'w', prompt: [], turn }) === 'recorded') return true
+    await new Promise<void>(resolve => { setTimeout(resolve, 100) })
+  }
+  return false
+}
+
+// Guards against a partition without an owner after a call of an earlier process of the node has raised the epoch late.
+test('a takeover of an ended process that the log executes late leaves the partitions with the process that serves them', async () => {
+  const shared = new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() })
+  const [firstLog, endedLog, log] = [new FakeLog(shared), new FakeLog(shared), new FakeLog(shared)]
+  const first = startProcess(firstLog, 4)
+  await waitFor(() => first.served.length === PARTITIONS)
+  for (let partition = 0; partition < PARTITIONS; partition++) assert.ok(await recordsTurn(first, partition, `before-${partition}`))
+  first.close()
+  endedLog.holdsAppends = true
+  const ended = startProcess(endedLog, 3)
+  await waitFor(() => endedLog.heldAppendCount >= 3)
+  ended.close()
+  const host = startProcess(log, 4)
+  await waitFor(() => host.served.length === PARTITIONS)
+  endedLog.executeHeldAppends()
+  for (let partition = 0; partition < PARTITIONS; partition++) {
+    assert.ok(await recordsTurn(host, partition, `after-${partition}`), `partition ${partition} records no turn`)
+    assert.is(host.find(partition)?.chainOf(`before-${partition}`)?.length, 1)
+  }
+  host.close()
+})
+
 test.run()
--- a/packages/node/test/node/routed/owners/partitionOwner.test.ts
+++ b/packages/node/test/node/routed/owners/partitionOwner.test.ts
@@ -1,8 +1,8 @@
 /** Guarantees of a partition's owner while the log loses answers, is down, or gets a newer owner. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { type GrantRequest, type RetainedTurn, SeededRandom, type TurnEnd } from '@trefoilshunt/core'
-import { EPOCHS_PER_GENERATION, PartitionOwner, TURN_TOPIC } from '../../../../src/node/routed/owners/partitionOwner.js'
+import { EPOCHS_PER_GENERATION, type GrantRequest, type RetainedTurn, SeededRandom, type TurnEnd } from '@trefoilshunt/core'
+import { PartitionOwner, TURN_TOPIC } from '../../../../src/node/routed/owners/partitionOwner.js'
 import { LogResponseTime } from '../../../../src/node/routed/logResponseTime.js'
 import { FakeLog } from '../fakeLog.js'
 import { VirtualTime } from '../virtualTime.js'
@@ -124,6 +124,28 @@
   assert.ok(epochs.every(epoch => epoch < 2 * EPOCHS_PER_GENERATION))
 })
 
+// Guards against turns that are confirmed and not in the log, because an earlier process has used the same epoch and the same numbers.
+test('the records of processes that start one after the other in a generation are never taken for one another, also late ones', async () => {
+  const log = new FakeLog()
+  const turnIds = Array.from({ length: 14 }, (_, start) => `t${start}`)
+  for (const [start, turnId] of turnIds.entries()) {
+    // With epochs drawn at random, these seeds gave two processes the same one.
+    const owner = createOwner(log, { seed: 7_725 + start })
+    await owner.recover()
+    log.executeHeldAppends()
+    assert.is(await owner.end(createEnd(turnId)), 'recorded')
+    log.holdsAppends = true
+    void owner.end(createEnd(`late-${turnId}`))
+    await wait(20)
+    owner.lose('its process has ended')
+    log.holdsAppends = false
+  }
+  const successor = createOwner(log, { generation: 2 })
+  await successor.recover()
+  assert.equal(turnIds.filter(turnId => successor.chainOf(turnId) === undefined), [], 'turns that were confirmed and are not in the log')
+  assert.equal(turnIds.filter(turnId => successor.chainOf(`late-${turnId}`) !== undefined), [], 'late records of ended processes')
+})
+
 test('while the log takes no records, no turn is granted that has to be recorded at its end', async () => {
   const log = new FakeLog()
   const owner = createOwner(log)
