Owners: a lost partition is taken over again while the group assigns it to the node

Cause: a node whose owner the log had fenced noted the generation in which the owner had begun, and didn't take the partition over again in it, as the owner of a later generation is the usual reason. But within a generation the group names one member for a partition, and only another process of the same node, or one of an earlier build before it, can fence it there. An owner that had begun in an earlier generation than the current one was taken over again, by chance.

Change: after a loss the node asks the group at once. If the answer still assigns the partition to it, it takes it over again, above the epoch that it lost, and reads the log anew. If the generation has no epoch left, the node leaves the group and joins it again, at most once in 10 s. An assigned partition that is not served for a second is logged (partitionUnserved) and counted (partitions_unserved, partition_unserved_ms), with the reason and its age.

Two processes of one name replace each other at most 20 times in 20 s.

--- a/packages/node/src/node/routed/nodeGauges.ts
+++ b/packages/node/src/node/routed/nodeGauges.ts
@@ -73,13 +73,15 @@
 
   /** Current values by name. */
   read (): Record<string, number> {
-    const { links, relays, relayServer, partitionHost: { served }, directory, clusterView, coordinator, streamOrigins, streamOutputs, notices, poisonRequestDetector, openRequests, reportedRequests, suspectGate, quotaClient, quotaService } = this._options
+    const { links, relays, relayServer, partitionHost: { served, unserved }, directory, clusterView, coordinator, streamOrigins, streamOutputs, notices, poisonRequestDetector, openRequests, reportedRequests, suspectGate, quotaClient, quotaService } = this._options
     const memory = process.memoryUsage()
     const cpu = process.cpuUsage()
     return {
       live_nodes: directory.alive.length + 1,
       load_report_age_ms: directory.meanStatusAgeMs,
       partitions_served: served.length,
+      partitions_unserved: unserved.length,
+      ...Object.fromEntries(unserved.map(({ partition, reason, ageMs }) => [formatSeries('partition_unserved_ms', { partition: String(partition), reason }), Math.round(ageMs)])),
       turns_held: served.reduce((total, owner) => total + owner.turnCount, 0),
       turn_bytes_held: served.reduce((total, owner) => total + owner.turnBytes, 0),
       programs_held: served.reduce((total, owner) => total + owner.programCount, 0),
--- a/packages/node/src/node/routed/owners/partitionHost.ts
+++ b/packages/node/src/node/routed/owners/partitionHost.ts
@@ -1,9 +1,11 @@
 /** Keeps this node in the log's member group and runs a `PartitionOwner` for each partition that the group assigns to it. */
-import type { IRandom, LogFields } from '@trefoilshunt/core'
+import { type IRandom, type LogFields, nextEpoch, PartitionAssignments, PartitionLoss } from '@trefoilshunt/core'
 import type { ILogClient } from '../../../common/routed/logClient.js'
 import { delay, steadyNowMs } from '../../steadyClock.js'
 import { LogResponseTime, type TimeoutLimits } from '../logResponseTime.js'
+import { InterruptibleDelay } from './interruptibleDelay.js'
 import { OwnerState, PartitionOwner, TURN_TOPIC } from './partitionOwner.js'
+import { UnservedPartitionReporter, type UnservedPartitionState } from './unservedPartitions.js'
 
 const MEMBER_GROUP = 'turn-owners'
 /** Joins sent within one time to live of the membership, so that three of them may fail. */
@@ -25,6 +27,8 @@
 /** Time to append the last records of a partition that is given up; well below a member's time to live. */
 const HANDOVER_TIMEOUT_MS = 250
 const EXPIRE_PERIOD_MS = 5_000
+/** Shortest time between two departures from the group that are to start a generation with unused epochs. */
+const MIN_REJOIN_PERIOD_MS = 10_000
 
 export interface PartitionHostOptions {
   /** The node's name. A restarted node that joins under the same name gets its partitions back at once. */
@@ -59,15 +63,16 @@
  */
 export class PartitionHost {
   private readonly _owners = new Map<number, PartitionOwner>()
-  /**
-   * Generation in which each partition was last lost to another owner. The partition is taken over again only when a later
-   * generation assigns it.
-   */
-  private readonly _lostGenerations = new Map<number, number>()
+  private readonly _assignments = new PartitionAssignments()
+  private readonly _unservedReporter: UnservedPartitionReporter
   private _generation = 0
   private _membershipChangedAtMs = Number.NEGATIVE_INFINITY
   /** True if partitions were given up after the latest join: the group moves them when this node has joined again. */
   private _hasReleased = false
+  /** True if this node has lost a partition, or has left the group, after the latest join was sent. */
+  private _isJoinDue = false
+  private readonly _joinDelay = new InterruptibleDelay()
+  private _lastRejoinMs = Number.NEGATIVE_INFINITY
   private _runningRecoveries = 0
   private _withoutPeersSinceMs: number | undefined
   private _lastJoinSentMs = Number.NEGATIVE_INFINITY
@@ -82,6 +87,7 @@
 
   constructor (private readonly _options: PartitionHostOptions) {
     this._memberTimeout = { minMs: MIN_MEMBER_TIMEOUT_MS, maxMs: _options.memberTtlMs / 2 }
+    this._unservedReporter = new UnservedPartitionReporter({ write: _options.write })
   }
 
   /** Starts to join the member group. */
@@ -106,6 +112,14 @@
     return this._owners.keys()
   }
 
+  /** The partitions that the group assigns to this node and that it doesn't serve. */
+  get unserved (): UnservedPartitionState[] {
+    return this._assignments.unserved(steadyNowMs()).map(({ loss, ...fields }) => {
+      const state = this._owners.get(fields.partition)?.state
+      return { ...fields, reason: state ?? loss ?? OwnerState.Waiting, loss }
+    })
+  }
+
   /** True when the group has had other members for `ISOLATED_AFTER_MS` and none of them was alive for this node in that time. */
   get isIsolated (): boolean {
     return this._withoutPeersSinceMs !== undefined && steadyNowMs() - this._withoutPeersSinceMs > ISOLATED_AFTER_MS
@@ -115,7 +129,7 @@
   applyPeerOwnership (owned: ReadonlyArray<readonly [partition: number, epoch: number]>): void {
     for (const [partition, epoch] of owned) {
       const owner = this._owners.get(partition)
-      if (owner !== undefined && owner.epoch < epoch) this._removeOwner(owner, 'replaced')
+      if (owner !== undefined && owner.epoch < epoch) this._loseOwner(owner, { reason: PartitionLoss.Replaced, epoch })
     }
   }
 
@@ -159,6 +173,7 @@
       if (this._isStopped) return
       const sentMs = steadyNowMs()
       const sentWallMs = Date.now()
+      this._isJoinDue = false
       const result = await log.join({ group: MEMBER_GROUP, member, topic: TURN_TOPIC, ttlMs: memberTtlMs, generation: this._generation, timeoutMs: this._memberTimeoutMs })
       if (this._isStopped) return
       if (result.type === 'joined') {
@@ -168,16 +183,17 @@
         if (hasLapsed && result.generation !== this._generation) this._lapseCount++
         this._lastJoinSentMs = sentMs
         this._lastJoinSentWallMs = sentWallMs
-        await this._applyMembership(result.generation, result.partitions)
+        await this._applyMembership(result.generation, result.partitions, sentMs)
         if (this._isStopped) return
       } else {
         this._failedMemberCalls++
         this._options.write('groupJoinFailed', { detail: result.detail, sinceLastMs: Math.round(sentMs - this._lastJoinSentMs) })
       }
+      this._unservedReporter.report(this.unserved, this._generation)
       const isSettling = result.type === 'joined' && steadyNowMs() - this._membershipChangedAtMs < SETTLING_MS
       const periodMs = memberTtlMs / JOINS_PER_TTL
       if (isSettling) await this._waitWhileSettling(sentMs, periodMs)
-      else await delay(Math.max(SETTLING_JOIN_MS / 2, periodMs - (steadyNowMs() - sentMs)))
+      else await this._waitUntilJoinIsDue(Math.max(SETTLING_JOIN_MS / 2, periodMs - (steadyNowMs() - sentMs)))
     }
   }
 
@@ -188,7 +204,13 @@
     do {
       await delay(Math.max(SETTLING_JOIN_MS / 2, waitMs))
       waitMs = Math.min(SETTLING_JOIN_MS, periodMs - (steadyNowMs() - sentMs))
-    } while (waitMs > 0 && !this._isStopped && !this._hasReleased && !hasUnservedPartition())
+    } while (waitMs > 0 && !this._isStopped && !this._hasReleased && !this._isJoinDue && !hasUnservedPartition())
+  }
+
+  /** Resolves after `delayMs`, or earlier if a join is due. */
+  private async _waitUntilJoinIsDue (delayMs: number): Promise<void> {
+    if (!this._isJoinDue) await this._joinDelay.wait(delayMs)
+    if (this._isJoinDue) await delay(SETTLING_JOIN_MS / 2)
   }
 
   private get _memberTimeoutMs (): number {
@@ -198,9 +220,7 @@
   /** Hands the partitions to members that can reach each other, because other nodes could not reach them here. */
   private async _leaveWhileIsolated (): Promise<void> {
     this._options.write('isolated', { partitions: [...this._owners.keys()].join(',') })
-    await Promise.all([...this._owners.values()].map(async owner => await owner.close(HANDOVER_TIMEOUT_MS)))
-    for (const owner of [...this._owners.values()]) this._removeOwner(owner, 'isolated')
-    await this._leaveGroup()
+    await this._handOverPartitions('isolated')
     const retryAtMs = steadyNowMs() + ISOLATED_RETRY_MS
     while (!this._options.hasLivePeers() && steadyNowMs() < retryAtMs && !this._isStopped) await delay(SETTLING_JOIN_MS)
     this._withoutPeersSinceMs = undefined
@@ -217,7 +237,23 @@
     this._options.write('groupLeaveFailed', { tookMs: LEAVE_TIMEOUT_MS })
   }
 
-  private async _applyMembership (generation: number, partitions: readonly number[]): Promise<void> {
+  /** Leaves the group and so starts a generation, because all epochs of the current one are used. The next join returns partitions of the new one. */
+  private async _startGeneration (): Promise<void> {
+    this._lastRejoinMs = steadyNowMs()
+    this._options.write('groupLeft', { generation: this._generation, detail: PartitionLoss.EpochsExhausted })
+    await this._handOverPartitions(PartitionLoss.EpochsExhausted)
+    this._isJoinDue = true
+  }
+
+  /** Records what remains, gives up all partitions and leaves the group, which assigns them to other members. */
+  private async _handOverPartitions (detail: string): Promise<void> {
+    await Promise.all([...this._owners.values()].map(async owner => await owner.close(HANDOVER_TIMEOUT_MS)))
+    this._assignments.assign([], steadyNowMs())
+    for (const owner of [...this._owners.values()]) this._removeOwner(owner, detail)
+    await this._leaveGroup()
+  }
+
+  private async _applyMembership (generation: number, partitions: readonly number[], sentMs: number): Promise<void> {
     const hasChanged = generation !== this._generation
     this._generation = generation
     const hasOtherMembers = partitions.length < this._options.partitionCount
@@ -226,22 +262,26 @@
     const assigned = new Set(partitions.filter(partition => partition < this._options.partitionCount))
     if (hasChanged) this._membershipChangedAtMs = steadyNowMs()
     if (hasChanged) this._options.write('partitionsAssigned', { generation, partitions: [...assigned].join(',') })
+    this._assignments.assign(assigned, steadyNowMs())
     // The log assigns a revoked partition to its next owner only after this node has joined with the new generation.
     const revoked = [...this._owners.values()].filter(owner => !assigned.has(owner.partition))
     this._hasReleased = revoked.length > 0
     await Promise.all(revoked.map(async owner => await owner.close(HANDOVER_TIMEOUT_MS)))
     for (const owner of revoked) this._removeOwner(owner, 'reassigned')
-    for (const partition of assigned) {
-      const isLost = generation <= (this._lostGenerations.get(partition) ?? 0)
-      if (!this._owners.has(partition) && !isLost) this._addOwner(partition, generation)
-    }
+    const available = [...assigned].filter(partition => !this._owners.has(partition) && this._assignments.mayTakeOver(partition, sentMs))
+    const mayRejoin = steadyNowMs() - this._lastRejoinMs >= MIN_REJOIN_PERIOD_MS
+    if (mayRejoin && available.some(partition => nextEpoch(generation, this._assignments.outdatedEpochOf(partition)) === undefined)) await this._startGeneration()
+    else for (const partition of available) this._addOwner(partition, generation)
   }
 
   private _addOwner (partition: number, generation: number): void {
     const { log, maxRecordBytes, maxAppendBytes, sinceLogResponseMs, random, onChanged, write } = this._options
+    const outdatedEpoch = this._assignments.outdatedEpochOf(partition)
+    if (outdatedEpoch !== undefined) write('partitionRetaken', { partition, generation, outdatedEpoch, losses: this._assignments.lossCountOf(partition) })
     const owner = new PartitionOwner({
       partition,
       generation,
+      outdatedEpoch,
       log,
       responseTime: this._responseTime,
       maxRecordBytes,
@@ -249,11 +289,11 @@
       sinceLogResponseMs,
       random,
       write,
-      onLost: (lost, loss) => {
-        this._lostGenerations.set(partition, generation)
-        this._removeOwner(lost, loss)
-      },
-      onServing: onChanged
+      onLost: (lost, reason) => this._loseOwner(lost, { reason, epoch: lost.epoch }),
+      onServing: () => {
+        this._assignments.recordServing(partition, steadyNowMs())
+        onChanged()
+      }
     })
     this._owners.set(partition, owner)
     this._startRecoveries()
@@ -271,6 +311,14 @@
     }
   }
 
+  /** Gives up a partition that has another owner, under `epoch` or a higher one, and asks the group soon whether it is still assigned to this node. */
+  private _loseOwner (owner: PartitionOwner, loss: { reason: PartitionLoss, epoch: number }): void {
+    if (this._owners.get(owner.partition) === owner) this._assignments.recordLoss(owner.partition, loss, steadyNowMs())
+    this._removeOwner(owner, loss.reason)
+    this._isJoinDue = true
+    this._joinDelay.end()
+  }
+
   private _removeOwner (owner: PartitionOwner, detail: string): void {
     if (this._owners.get(owner.partition) === owner) this._owners.delete(owner.partition)
     owner.lose(detail)
--- a/packages/node/test/node/routed/owners/ownerSearch.test.ts
+++ b/packages/node/test/node/routed/owners/ownerSearch.test.ts
@@ -7,7 +7,8 @@
 import { hash32, SeededRandom } from '@trefoilshunt/core'
 import { KeyedLog } from '@trefoilshunt/standins'
 import { PartitionHost } from '../../../../src/node/routed/owners/partitionHost.js'
-import type { PartitionOwner } from '../../../../src/node/routed/owners/partitionOwner.js'
+import { PRODUCER } from '../../../../src/node/routed/owners/appendQueue.js'
+import { type PartitionOwner, TURN_TOPIC } from '../../../../src/node/routed/owners/partitionOwner.js'
 import { FaultInjectingLog, type LogFaults } from './faultInjectingLog.js'
 import { VirtualTime } from '../virtualTime.js'
 
@@ -21,6 +22,8 @@
 const BUDGETS_TOKENS = [20_000, 600]
 const MAX_TURN_TOKENS = 50
 const MEMBER_GROUP = 'turn-owners'
+/** A sixteenth of the epochs of a generation. */
+const MAX_EPOCH_STEP = 2 ** 16
 
 interface Program {
   id: string
@@ -57,6 +60,7 @@
       this._injectFault()
     }
     await this._time.advance(3_000)
+    await this._checkServedInCalm()
     this._isOver = true
     for (const node of [...this._hosts.keys()]) this._kill(node)
     Object.assign(this._logFaults, { lossyUntilMs: 0 })
@@ -104,7 +108,8 @@
       unresponsive: () => { for (const affectedNode of affected) this._logFaults.unresponsiveUntilMs.set(affectedNode, untilMs) },
       refuse: () => { for (const affectedNode of affected) this._logFaults.refusedUntilMs.set(affectedNode, untilMs) },
       lossy: () => Object.assign(this._logFaults, { lossyUntilMs: untilMs, lossProbability: 0.2 + 0.5 * this._random.next() }),
-      rebalance: () => this._log.rebalance(MEMBER_GROUP)
+      rebalance: () => this._log.rebalance(MEMBER_GROUP),
+      fence: () => this._fence(this._random.nextInt(PARTITIONS))
     }
     const names = Object.keys(kinds)
     const name = names[this._random.nextInt(names.length)]
@@ -112,6 +117,12 @@
     kinds[name]()
   }
 
+  /** Raises the epoch of a partition as a late call of an earlier process of its owner's node does. */
+  private _fence (partition: number): void {
+    const epoch = Math.max(...[...this._hosts.values()].map(host => host.find(partition)?.epoch ?? 0))
+    if (epoch > 0) this._log.append(TURN_TOPIC, partition, [], { producer: PRODUCER, epoch: epoch + 1 + this._random.nextInt(MAX_EPOCH_STEP) })
+  }
+
   private _restart (nodes: readonly string[], afterMs: number): void {
     for (const node of nodes) {
       if (!this._hosts.has(node)) continue
@@ -181,6 +192,19 @@
     }
   }
 
+  /** Checks that each partition has an owner whose epoch the log accepts, also after a last fence, of which the owner learns by its next append. */
+  private async _checkServedInCalm (): Promise<void> {
+    for (let partition = 0; partition < PARTITIONS; partition++) {
+      this._fence(partition)
+      let isConfirmed = false
+      for (let tries = 0; tries < 2 && !isConfirmed; tries++) {
+        for (const host of this._hosts.values()) void host.find(partition)?.confirm().then(isOwner => { isConfirmed ||= isOwner })
+        await this._time.advance(500)
+      }
+      if (!isConfirmed) this.violations.push(`partition ${partition} has no owner in calm`)
+    }
+  }
+
   /** Checks that a single node finds all completed turns and used tokens after all other nodes have crashed. */
   private _checkSurvivingNode (): void {
     const host = this._hosts.get('z')
--- a/packages/node/test/node/routed/owners/partitionHost.test.ts
+++ b/packages/node/test/node/routed/owners/partitionHost.test.ts
@@ -1,10 +1,12 @@
 /** How partitions are assigned, recovered and handed over as members join, restart, crash or become isolated. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { SeededRandom } from '@trefoilshunt/core'
+import { EPOCHS_PER_GENERATION, SeededRandom } from '@trefoilshunt/core'
 import { KeyedLog } from '@trefoilshunt/standins'
 import { PartitionHost } from '../../../../src/node/routed/owners/partitionHost.js'
+import { TURN_TOPIC } from '../../../../src/node/routed/owners/partitionOwner.js'
 import { FakeLog } from '../fakeLog.js'
+import { VirtualTime } from '../virtualTime.js'
 
 const PARTITIONS = 4
 const TTL_MS = 400
@@ -248,4 +250,55 @@
   host.close()
 })
 
+// Guards against a partition without an owner after it was fenced within a generation of the group, for example by a process of an earlier build.
+test('a fenced partition is taken over again while the group assigns it to the node, and no turn is lost', async () => {
+  const shared = new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() })
+  const host = startProcess(new FakeLog(shared), 1)
+  await waitFor(() => host.served.length === PARTITIONS)
+  assert.ok(await recordsTurn(host, 2, 'before'))
+  for (let round = 0; round < 2; round++) {
+    const epoch = host.find(2)?.epoch ?? 0
+    shared.append(TURN_TOPIC, 2, [], { producer: 'owner', epoch: epoch + 100_000 })
+    assert.ok(await recordsTurn(host, 2, `after-${round}`), `no turn is recorded after fence ${round}`)
+    assert.ok((host.find(2)?.epoch ?? 0) > epoch + 100_000)
+  }
+  assert.is(host.find(2)?.chainOf('before')?.length, 1)
+  assert.equal(host.unserved, [])
+  host.close()
+})
+
+test('when the epochs of a generation are used up, the node starts a new generation and serves again', async () => {
+  const shared = new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() })
+  const host = startProcess(new FakeLog(shared), 1)
+  await waitFor(() => host.served.length === PARTITIONS)
+  assert.ok(await recordsTurn(host, 2, 'before'))
+  shared.append(TURN_TOPIC, 2, [], { producer: 'owner', epoch: 2 * EPOCHS_PER_GENERATION - 1 })
+  assert.ok(await recordsTurn(host, 2, 'after'))
+  assert.is(host.find(2)?.chainOf('before')?.length, 1)
+  await waitFor(() => host.served.length === PARTITIONS)
+  host.close()
+})
+
+// Guards against two processes of one name that fence each other without a pause, so that neither serves.
+test('two processes of one name replace each other ever less often, and the one that stays serves', async () => {
+  await VirtualTime.run(async time => {
+    const shared = new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => time.nowMs })
+    const [first, second] = [1, 2].map(seed => startProcess(new FakeLog(shared), seed))
+    let takeovers = 0
+    let latestEpoch = 0
+    for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 20) {
+      for (const host of [first, second]) void host.find(1)?.confirm()
+      await time.advance(20)
+      const epoch = Math.max(...[first, second].map(host => host.find(1)?.epoch ?? 0))
+      if (epoch > latestEpoch) takeovers++
+      latestEpoch = Math.max(latestEpoch, epoch)
+    }
+    assert.ok(takeovers <= 20, `${takeovers} takeovers of a partition in 20 s`)
+    first.close()
+    await time.advance(4_500)
+    assert.is(second.served.length, PARTITIONS)
+    second.close()
+  })
+})
+
 test.run()
