Routed calls: a reservation that is lost with its owner is made once more at the next one

What callers saw: the first turn after its partition was fenced unseen got no answer, although it may have run.

Cause: a turn runs while its reservation is on the way to the log. If the owner lost its partition before, the request ended at once.

Change: the answer is held back, so nothing of it has reached the caller. The reservation is made once more, at the next owner, and the answer goes on when that one is in the log. A second loss ends the request as before.

--- a/packages/node/src/node/routed/routedCall.ts
+++ b/packages/node/src/node/routed/routedCall.ts
@@ -46,6 +46,7 @@
   private _unregister: () => void = () => {}
   private _service: RoutedService | undefined
   private _grant: GrantedTurn | undefined
+  private _hasReservedAgain = false
   private _latestAttempt: WorkerAttempt | undefined
   private _isDone = false
   /** Requests in flight at the worker of the latest attempt, as this node knew them when it chose the worker. */
@@ -141,8 +142,14 @@
   }
 
   private async _requestGrant (): Promise<void> {
+    const outcome = await this._askOwner()
+    if (outcome !== undefined) this._applyGrantOutcome(outcome)
+  }
+
+  /** Asks the owner of the program's partition for the turn; undefined if the request has ended meanwhile. */
+  private async _askOwner (): Promise<GrantOutcome | undefined> {
     const { program, maxTokens } = this._request
-    if (program === undefined) return
+    if (program === undefined) return undefined
     const { programId, budgetTokens } = program
     const requestId = internalIdOf(this._request)
     const previousTurnId = this._route.retainsTurns ? program.previousTurnId : undefined
@@ -152,11 +159,9 @@
     const tookMs = steadyNowMs() - startedMs
     this._dependencies.metrics.observeMs('grant_ms', tookMs)
     this._log('grantReceived', { outcome: outcome.type, tookMs: Math.round(tookMs), detail: outcome.type === 'unavailable' ? outcome.detail : undefined })
-    if (this._isDone) {
-      if (outcome.type === 'granted') this._reportTurnEnd(0)
-      return
-    }
-    this._applyGrantOutcome(outcome)
+    if (!this._isDone) return outcome
+    if (outcome.type === 'granted') this._reportTurnEnd(0)
+    return undefined
   }
 
   private _applyGrantOutcome (outcome: GrantOutcome): void {
@@ -175,22 +180,34 @@
     }
   }
 
-  /** Pauses forwarding until the log has recorded the reservation of the turn's tokens; ends the request if the reservation is lost. */
+  /** Pauses forwarding until the log has recorded the reservation of the turn's tokens. A lost reservation is made once more. */
   private _holdAnswerUntilRecorded ({ recorded }: GrantedTurn): void {
     if (recorded === undefined) return
     this._relay.pauseForwarding()
     void recorded.then(isRecorded => {
       if (this._isDone) return
-      if (!isRecorded) {
-        const mayHaveRun = this._mayHaveRun || this._isAttemptOpen || this._relay.hasHead
-        this._latestAttempt?.cancel()
-        this._endWithoutAnswer({ type: mayHaveRun ? 'unknown' : 'notRun' }, 'the reservation was lost')
-        return
-      }
-      this._relay.resumeForwarding()
+      if (isRecorded) this._relay.resumeForwarding()
+      else if (this._hasReservedAgain) this._endWithoutReservation()
+      else void this._reserveAgain()
     })
   }
 
+  /** Reserves the tokens of a turn that may run already at the next owner, after the first one has lost its partition. Nothing of the answer has been forwarded. */
+  private async _reserveAgain (): Promise<void> {
+    this._hasReservedAgain = true
+    const outcome = await this._askOwner()
+    if (outcome === undefined) return
+    if (outcome.type !== 'granted') this._endWithoutReservation()
+    else if (outcome.recorded === undefined) this._relay.resumeForwarding()
+    else this._holdAnswerUntilRecorded(outcome)
+  }
+
+  private _endWithoutReservation (): void {
+    const mayHaveRun = this._mayHaveRun || this._isAttemptOpen || this._relay.hasHead
+    this._latestAttempt?.cancel()
+    this._endWithoutAnswer({ type: mayHaveRun ? 'unknown' : 'notRun' }, 'the reservation was lost')
+  }
+
   private _startAttempt (): void {
     if (this._refusePoison()) return
     const suspect = this._suspectTurn === undefined ? this._dependencies.poisonRequestDetector.findSuspect(this._request) : undefined
