--- a/packages/node/src/node/routed/owners/partitionHost.ts
+++ b/packages/node/src/node/routed/owners/partitionHost.ts
@@ -243,7 +243,7 @@
   private async _startGeneration (): Promise<void> {
     this._lastRejoinMs = steadyNowMs()
     this._options.write('groupLeft', { generation: this._generation, detail: PartitionLoss.EpochsExhausted })
-    await this._handOverPartitions(PartitionLoss.EpochsExhausted)
+    await this._handOverPartitions('groupLeft')
     this._isJoinDue = true
   }
 
