Owners: test that an assigned partition without service is listed and logged

Guards the reason and the age in partitionUnserved and in the list that the metrics render. The options of the tests' hosts are an object now.

--- a/packages/node/test/node/routed/owners/partitionHost.test.ts
+++ b/packages/node/test/node/routed/owners/partitionHost.test.ts
@@ -1,7 +1,7 @@
 /** How partitions are assigned, recovered and handed over as members join, restart, crash or become isolated. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { EPOCHS_PER_GENERATION, SeededRandom } from '@trefoilshunt/core'
+import { EPOCHS_PER_GENERATION, type LogFields, SeededRandom } from '@trefoilshunt/core'
 import { KeyedLog } from '@trefoilshunt/standins'
 import { PartitionHost } from '../../../../src/node/routed/owners/partitionHost.js'
 import { TURN_TOPIC } from '../../../../src/node/routed/owners/partitionOwner.js'
@@ -11,7 +11,15 @@
 const PARTITIONS = 4
 const TTL_MS = 400
 
-function createHost (log: FakeLog, member: string, hasLivePeers: () => boolean = () => true, memberTtlMs = TTL_MS, hasUnservedPartition?: () => boolean, seed = member.length): PartitionHost {
+interface HostOptions {
+  hasLivePeers?: () => boolean
+  memberTtlMs?: number
+  hasUnservedPartition?: () => boolean
+  seed?: number
+  write?: (event: string, fields: LogFields) => void
+}
+
+function createHost (log: FakeLog, member: string, { hasLivePeers = () => true, memberTtlMs = TTL_MS, hasUnservedPartition, seed = member.length, write = () => {} }: HostOptions = {}): PartitionHost {
   return new PartitionHost({
     member,
     log,
@@ -24,7 +32,10 @@
     hasUnservedPartition,
     random: new SeededRandom(seed),
     onChanged: () => {},
-    write: (event, fields) => { if (process.env.DBG !== undefined) console.log(Math.round(performance.now()), member, event, JSON.stringify(fields)) }
+    write: (event, fields) => {
+      write(event, fields)
+      if (process.env.DBG !== undefined) console.log(Math.round(performance.now()), member, event, JSON.stringify(fields))
+    }
   })
 }
 
@@ -59,7 +70,7 @@
   const logs = Array.from({ length: 5 }, () => new FakeLog(shared))
   const hosts: PartitionHost[] = []
   const start = (member: string, index: number): void => {
-    hosts.push(createHost(logs[index], member, undefined, ttlMs, () => servedPartitions(hosts).length < PARTITIONS))
+    hosts.push(createHost(logs[index], member, { memberTtlMs: ttlMs, hasUnservedPartition: () => servedPartitions(hosts).length < PARTITIONS }))
     hosts[index].start()
   }
   ;['a', 'bb', 'ccc', 'dddd'].forEach(start)
@@ -79,7 +90,7 @@
 
 test('a lost join or leave is repeated long before the membership expires', async () => {
   const log = new FakeLog(new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() }))
-  const [first, second] = ['a', 'bb'].map(member => createHost(log, member, undefined, 4_000))
+  const [first, second] = ['a', 'bb'].map(member => createHost(log, member, { memberTtlMs: 4_000 }))
   log.lostJoins = 1
   const startedMs = performance.now()
   first.start()
@@ -133,7 +144,7 @@
 test('a node that receives nothing from the other members hands its partitions to them', async () => {
   const log = new FakeLog(new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() }))
   let isIsolated = false
-  const hosts = [createHost(log, 'a', () => !isIsolated), createHost(log, 'bb'), createHost(log, 'ccc')]
+  const hosts = [createHost(log, 'a', { hasLivePeers: () => !isIsolated }), createHost(log, 'bb'), createHost(log, 'ccc')]
   for (const host of hosts) host.start()
   await waitFor(() => servedPartitions(hosts).length === PARTITIONS && hosts.every(host => host.served.length > 0))
   isIsolated = true
@@ -145,7 +156,7 @@
 
 test('the only remaining node serves all partitions although it has no peers', async () => {
   const log = new FakeLog(new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() }))
-  const host = createHost(log, 'a', () => false)
+  const host = createHost(log, 'a', { hasLivePeers: () => false })
   host.start()
   await waitFor(() => host.served.length === PARTITIONS)
   await new Promise<void>(resolve => { setTimeout(resolve, 1_800) })
@@ -173,7 +184,7 @@
 test('a node that knows how slow the log is takes partitions over without a call in vain', async () => {
   const shared = new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => performance.now() })
   const logs = [new FakeLog(shared), new FakeLog(shared)]
-  const [leaving, successor] = ['a', 'bb'].map((member, index) => createHost(logs[index], member, undefined, 4_000))
+  const [leaving, successor] = ['a', 'bb'].map((member, index) => createHost(logs[index], member, { memberTtlMs: 4_000 }))
   leaving.start()
   successor.start()
   await waitFor(() => servedPartitions([leaving, successor]).length === PARTITIONS && successor.served.length === PARTITIONS / 2)
@@ -213,7 +224,7 @@
 
 /** A process of the node 'a'; the log knows those of one name as one member. */
 function startProcess (log: FakeLog, seed: number): PartitionHost {
-  const host = createHost(log, 'a', undefined, undefined, undefined, seed)
+  const host = createHost(log, 'a', { seed })
   host.start()
   return host
 }
@@ -301,4 +312,27 @@
   })
 })
 
+// Guards against a partition that is assigned here and refuses all turns, while nothing in the log says so.
+test('a partition that is assigned and not served is listed with the reason and its age, and logged every five seconds', async () => {
+  await VirtualTime.run(async time => {
+    const log = new FakeLog(new KeyedLog({ partitionCount: PARTITIONS, nowMs: () => time.nowMs }))
+    const lines: LogFields[] = []
+    log.holdsAppends = true
+    const host = createHost(log, 'a', { write: (event, fields) => { if (event === 'partitionUnserved' && fields.partition === 0) lines.push(fields) } })
+    host.start()
+    await time.advance(900)
+    assert.is(lines.length, 0)
+    await time.advance(6_000)
+    assert.equal(lines.map(({ reason }) => reason), ['recovering', 'recovering'])
+    const [{ partition, reason, ageMs }] = host.unserved
+    assert.equal([partition, reason], [0, 'recovering'])
+    assert.ok(ageMs > 6_500 && ageMs < 7_000, `${ageMs} ms`)
+    log.holdsAppends = false
+    await time.advance(4_000)
+    assert.equal(host.unserved, [])
+    assert.is(lines.length, 2)
+    host.close()
+  })
+})
+
 test.run()
