--- a/packages/core/src/common/turns/ownershipEpochs.ts
+++ b/packages/core/src/common/turns/ownershipEpochs.ts
@@ -2,9 +2,9 @@
 
 /** Number of epochs of one generation of the member group. */
 export const EPOCHS_PER_GENERATION = 2 ** 20
-/** An owner raises the epoch to the first of a pair, and then appends under the second. */
-const PAIR = 2
-/** Each step to another pair is this many times as long as the one before, so that a limited number of claims gets past any epoch. */
+/** An owner raises the epoch to the first of these, and then to the second, under which it appends. */
+const EPOCHS_PER_OWNER = 2
+/** Each step to the epochs of another owner is this many times as long as the one before, so that a limited number of calls gets past any epoch. */
 const STEP_GROWTH = 2
 
 /**
@@ -21,7 +21,7 @@
  */
 export function nextEpoch (generation: number, outdatedEpoch = -1): number | undefined {
   const baseEpoch = generation * EPOCHS_PER_GENERATION
-  for (let offset = 0, step = PAIR; offset < EPOCHS_PER_GENERATION; offset += step, step *= STEP_GROWTH) {
+  for (let offset = 0, step = EPOCHS_PER_OWNER; offset < EPOCHS_PER_GENERATION; offset += step, step *= STEP_GROWTH) {
     if (baseEpoch + offset > outdatedEpoch) return baseEpoch + offset
   }
   return undefined
