--- a/packages/core/src/common/turns/partitionLoss.ts
+++ b/packages/core/src/common/turns/partitionLoss.ts
@@ -1,6 +1,6 @@
-/** The reasons for which an owner gives up a partition without being asked to. */
+/** Why a node loses a partition that the group has assigned to it. */
 
-/** Why a node lost a partition that the group still assigned to it. */
+/** The group may have moved the partition meanwhile; the node has to ask it. */
 export const PartitionLoss = {
   /** The log refused an append because of a higher epoch. */
   Fenced: 'fenced',
@@ -8,7 +8,7 @@
   Replaced: 'replaced',
   /** The log expected another sequence number, so that another process appends under the same epoch. */
   OutOfSequence: 'outOfSequence',
-  /** The log has accepted an epoch that is not below the last one of the generation. */
+  /** The generation has no epoch left that the log would accept. */
   EpochsExhausted: 'epochsExhausted'
 } as const
 export type PartitionLoss = typeof PartitionLoss[keyof typeof PartitionLoss]
