Connections: requests that are answered at once leave other connections their turn

While clients pipelined requests to the ports for readiness and addresses on a slow machine, ordinary callers got 408 or no answer for 20 s.

Cause: the time after which a connection yields was measured anew in each call. After a piece that began a request, and after each closed answer, the reader went on in the next tick, and ticks run before the event loop goes on. Requests that are answered without waiting were therefore handled to the end of a read of 64 KB.

Change: the time counts over the whole turn of the event loop, for what is parsed and for the requests that wait.

--- a/packages/node/src/node/connectionReader.ts
+++ b/packages/node/src/node/connectionReader.ts
@@ -8,8 +8,11 @@
  * beyond the limit on open requests waits.
  */
 const PIECE_BYTES = 4 * 1024
-/** A body in chunks of one byte takes about 30 ms for each 64 KB; other connections get their turn after this time. */
-const MAX_FEED_MS = 1
+/**
+ * Time for one connection in each turn of the event loop; the other connections, and the timers that close them, wait meanwhile. A body in chunks of one byte
+ * takes about 30 ms for each 64 KB, and requests that are answered at once take more.
+ */
+const MAX_TURN_MS = 1
 /** Requests that wait unread for this long, while none before them is answered, never run. Ordinary answers of plain workers take less. */
 const MAX_UNREAD_MS = 750
 /** Time for the caller to receive the last answer. Closing a connection with unread bytes makes the kernel reset it, and an answer on its way may be lost. */
@@ -36,8 +39,10 @@
   private _holdCount = 0
   private _rest: Buffer | undefined
   private _isFeeding = false
-  /** True until other connections have had their turn. */
+  /** True until the next tick or, once the time of the current turn is used up, the next turn of the event loop. */
   private _isYielding = false
+  /** When the time of this connection in the current turn of the event loop is used up; absent while it has done nothing in it. */
+  private _turnEndMs: number | undefined
   private _isClosing = false
   private _stuckTimer: NodeJS.Timeout | undefined
   private readonly _parse: Array<(chunk: Buffer) => void>
@@ -133,6 +138,7 @@
       const queuedCount = this._queue.length
       // Responses of a closed connection are closed one after the other.
       if (queuedCount === 0 || this._socket.destroyed || this._openCount - queuedCount >= this._maxOpenRequests) return
+      if (this._isTurnOver()) return this._yield(setImmediate)
       const next = this._queue.shift()
       if (next?.response.closed === false) next.request.start()
     }
@@ -147,6 +153,14 @@
     }, MAX_UNREAD_MS)
   }
 
+  /** Starts the turn if this is the first call in it. */
+  private _isTurnOver (): boolean {
+    if (this._turnEndMs !== undefined) return steadyNowMs() >= this._turnEndMs
+    this._turnEndMs = steadyNowMs() + MAX_TURN_MS
+    setImmediate(() => { this._turnEndMs = undefined })
+    return false
+  }
+
   private _continue (): void {
     if (this.isHeld || this._socket.destroyed) return
     this._feed()
@@ -154,11 +168,13 @@
     if (!this.isHeld) this._socket.resume()
   }
 
-  private _yield (schedule: (continueFeeding: () => void) => void): void {
+  private _yield (schedule: (resume: () => void) => void): void {
+    if (this._isYielding) return
     this._isYielding = true
     this._socket.pause()
     schedule(() => {
       this._isYielding = false
+      this._startQueued()
       this._continue()
     })
   }
@@ -166,17 +182,16 @@
   private _feed (): void {
     if (this._isFeeding) return
     this._isFeeding = true
-    const endMs = steadyNowMs() + MAX_FEED_MS
     try {
       while (this._rest !== undefined && !this.isHeld && !this._socket.destroyed) {
+        if (this._isTurnOver()) return this._yield(setImmediate)
         const piece = this._rest.subarray(0, PIECE_BYTES)
         this._rest = piece.length === this._rest.length ? undefined : this._rest.subarray(PIECE_BYTES)
         const openCount = this._openCount
         for (const parse of this._parse) parse.call(this._socket, piece)
         if (this._rest === undefined) return
         // The body of a new request is passed on from the next tick; Node.js would keep the objects of all its chunks until then.
-        if (this._openCount > openCount) this._yield(continueFeeding => process.nextTick(continueFeeding))
-        else if (steadyNowMs() > endMs) this._yield(setImmediate)
+        if (this._openCount > openCount) this._yield(process.nextTick)
       }
     } finally {
       this._isFeeding = false
--- a/packages/node/test/node/connectionReader.test.ts
+++ b/packages/node/test/node/connectionReader.test.ts
@@ -5,6 +5,8 @@
 import { ClientLimit, ConnectionGuard, type ConnectionGuardOptions } from '../../src/node/connectionGuard.js'
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+/** Fit in one read of 64 KB. */
+const FLOOD_REQUESTS = 1_000
 
 interface Context {
   server: Server
@@ -78,6 +80,36 @@
   context.server.close()
 })
 
+// Guards against a client whose requests are answered at once, and which keeps all others waiting until the last one that it sent.
+test('requests of one connection that are answered at once leave the others their turn', async () => {
+  const server = createServer()
+  const guard = new ConnectionGuard({ server, maxOpenRequests: 4 })
+  let floodCount = 0
+  let floodCountBeforeOther: number | undefined
+  server.on('request', (request, response) => {
+    guard.begin(request, response, () => ({
+      start: () => {
+        if (request.url === '/other') floodCountBeforeOther = floodCount
+        else if (++floodCount === 1) other.write(REQUEST.replace('/', '/other'))
+        const endMs = performance.now() + 1
+        while (performance.now() < endMs);
+        response.end()
+      },
+      drop: () => response.destroy()
+    }))
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  const [flood, other] = [createConnection({ host: '127.0.0.1', port }), createConnection({ host: '127.0.0.1', port })]
+  for (const socket of [flood, other]) socket.on('error', () => {}).resume()
+  flood.write(REQUEST.repeat(FLOOD_REQUESTS))
+  await until(() => floodCountBeforeOther !== undefined)
+  assert.ok(floodCountBeforeOther as number < FLOOD_REQUESTS / 10, `${floodCountBeforeOther} requests of the flood ran first`)
+  flood.destroy()
+  other.destroy()
+  server.close()
+})
+
 test('beyond the limit on connections a client is closed and reported', async () => {
   const context = await listen({ maxConnections: 2 })
   const sockets = [connect(context), connect(context), connect(context)]
